--- /dev/null
+++ b/include/dragonflystall/agentcore.h
@@ -0,0 +1,130 @@
+// The agent's events and actions: what its shell feeds in and carries out.
+#ifndef DRAGONFLYSTALL_AGENTCORE_H
+#define DRAGONFLYSTALL_AGENTCORE_H
+
+#include "dragonflystall/balancercore.h"
+#include "dragonflystall/message.h"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace dragonflystall::wire {
+class ControlMessage;
+} // namespace dragonflystall::wire
+
+namespace dragonflystall {
+
+/// What the agent knows of itself when it starts.
+struct AgentIdentity {
+  RosterEntry Self;
+  std::string Team;
+  std::string Service;
+};
+
+/// A packet on the data port whose payload the CoAP edge has decoded. Payload
+/// keeps the datagram for passing it on.
+struct AgentPacket {
+  Endpoint From;
+  PacketHeader Header;
+  std::string Payload;
+  Message Decoded;
+};
+
+/// Names one execution at the local upstream.
+enum class RunId : uint64_t { None = 0 };
+
+enum class UpstreamOutcome : uint8_t {
+  Answered, ///< A complete answer came; the request ran.
+  Shed,     ///< The upstream refused it before running it.
+  Refused,  ///< No connection; nothing was sent.
+  Failed,   ///< The connection broke after the request was sent.
+  TimedOut, ///< No answer in time; it was cancelled.
+};
+
+constexpr std::array<std::string_view, 5> UpstreamOutcomeNames = {
+    "answered", "shed", "refused", "failed", "timed-out"};
+constexpr std::string_view name(UpstreamOutcome O) {
+  return UpstreamOutcomeNames[static_cast<size_t>(O)];
+}
+
+struct UpstreamAnswer {
+  RunId Run = RunId::None;
+  UpstreamOutcome Outcome = UpstreamOutcome::Failed;
+  int HttpStatus = 0;
+  std::string Body;
+  std::string ContentType;
+  std::optional<Duration> RetryAfter;
+};
+
+/// What the upstream's health and load endpoints said: a hint only.
+struct UpstreamHint {
+  bool Healthy = true;
+  bool Draining = false;
+  uint32_t Load = 0; ///< Percent of what it thinks it bears.
+};
+
+/// The result of an UpdateRoster. Conflict and Unknown carry what is stored
+/// now when a re-read succeeded.
+struct RosterWritten {
+  enum class Result : uint8_t { Written, Conflict, Unknown } Outcome;
+  Roster Stored;
+};
+
+/// The operator or the process manager asks for a graceful shutdown.
+struct StopRequested {};
+
+/// A message of another process over ZeroMQ. Shared, since it is large.
+struct PeerMessage {
+  std::shared_ptr<const wire::ControlMessage> Value;
+};
+
+using AgentEvent = std::variant<AgentPacket, PeerMessage, UpstreamAnswer,
+                                UpstreamHint, RosterUpdate, RosterWritten,
+                                SettingsUpdate, StopRequested, Tick>;
+
+/// Send header and payload over UDP to a balancer or an agent.
+struct SendDatagram {
+  Endpoint To;
+  PacketHeader Header;
+  std::string Payload;
+};
+/// Encode the message as CoAP and send it as the payload.
+struct SendMessage {
+  Endpoint To;
+  PacketHeader Header;
+  Message Value;
+};
+struct SendPeer {
+  Endpoint To; ///< The peer's control address.
+  std::shared_ptr<const wire::ControlMessage> Value;
+};
+struct RunUpstream {
+  RunId Run = RunId::None;
+  Code Method = Code::Get;
+  std::string Path;
+  std::string Query;
+  std::string Body;
+  std::optional<uint16_t> ContentFormat;
+  Duration Timeout{};
+};
+struct CancelUpstream {
+  RunId Run = RunId::None;
+};
+/// Conditional update of the roster object: succeeds only if the stored
+/// version is Expected (0: the object does not exist).
+struct UpdateRoster {
+  uint64_t Expected = 0;
+  Roster Value;
+};
+/// Everything is handed over and answered: the process may exit.
+struct StopComplete {};
+
+using AgentAction =
+    std::variant<SendDatagram, SendMessage, SendPeer, RunUpstream,
+                 CancelUpstream, UpdateRoster, WantRoster, StopComplete, Event>;
+using AgentActions = std::vector<AgentAction>;
+
+} // namespace dragonflystall
+
+#endif
--- /dev/null
+++ b/src/requests/reply.cpp
@@ -0,0 +1,36 @@
+// Builds refusals and the headers under which answers travel.
+#include "reply.h"
+
+namespace dragonflystall {
+
+Message answerTo(const Message &Request, Code Kind, Verdict V,
+                 uint16_t MessageId) {
+  const bool Piggyback = Request.Type == MessageType::Confirmable;
+  Message Answer;
+  Answer.Type =
+      Piggyback ? MessageType::Acknowledgement : MessageType::NonConfirmable;
+  Answer.Kind = Kind;
+  Answer.MessageId = Piggyback ? Request.MessageId : MessageId;
+  Answer.Token = Request.Token;
+  Answer.Verdict = V;
+  return Answer;
+}
+
+Message refusalTo(const Message &Request, Verdict V, Duration RetryAfter,
+                  uint16_t MessageId) {
+  Message Answer = answerTo(Request, Code::ServiceUnavailable, V, MessageId);
+  Answer.MaxAge = RetryAfter;
+  Answer.Payload = name(V);
+  return Answer;
+}
+
+PacketHeader replyHeader(const PacketHeader &Request, AgentId Holder) {
+  PacketHeader Reply = Request;
+  Reply.Kind = PacketKind::Reply;
+  Reply.Hops = 0;
+  Reply.Placed = false;
+  Reply.Holder = Holder;
+  return Reply;
+}
+
+} // namespace dragonflystall
