--- /dev/null
+++ b/bench/bench.h
@@ -0,0 +1,37 @@
+// Deterministic workloads on the cores. Each returns a signature of what was
+// decided, which a change of speed alone leaves as it is.
+#ifndef DRAGONFLYSTALL_BENCH_BENCH_H
+#define DRAGONFLYSTALL_BENCH_BENCH_H
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace dragonflystall::bench {
+
+/// What one workload did. Seconds covers the decisions only, not the set-up.
+struct Outcome {
+  uint64_t Decisions = 0;
+  double Seconds = 0;
+  uint64_t Signature = 0;
+};
+
+struct Workload {
+  std::string_view Name;
+  Outcome (*Run)();
+};
+
+/// All workloads, in the order in which `dragonflystall bench` runs them.
+std::span<const Workload> workloads();
+
+/// Mixes a decision into a signature.
+constexpr uint64_t mix(uint64_t Signature, uint64_t Decision) {
+  return (Signature ^ Decision) * 0x9e3779b97f4a7c15ULL + 1;
+}
+
+// bench/homebench.cpp
+Outcome findHome();
+
+} // namespace dragonflystall::bench
+
+#endif
--- /dev/null
+++ b/cli/command.h
@@ -0,0 +1,34 @@
+// The commands of the command line; each lives in a file of its own.
+#ifndef DRAGONFLYSTALL_CLI_COMMAND_H
+#define DRAGONFLYSTALL_CLI_COMMAND_H
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace dragonflystall::cli {
+
+/// What every command exits with.
+enum ExitCode : int {
+  Success = 0,
+  Failed = 1,   ///< It ran and the answer is no.
+  BadUsage = 2, ///< The arguments are wrong.
+  Conflict = 3, ///< Somebody else changed the object first.
+  Refused = 4,  ///< The platform refused it.
+  Unreachable = 5,
+};
+
+using Arguments = std::vector<std::string>;
+
+struct Command {
+  std::string_view Name;
+  std::string_view Summary;
+  int (*Run)(const Arguments &Args);
+};
+
+// cli/benchcommand.cpp
+int runBench(const Arguments &Args);
+
+} // namespace dragonflystall::cli
+
+#endif
--- /dev/null
+++ b/cli/main.cpp
@@ -0,0 +1,38 @@
+// The command line: finds the command and runs it.
+#include "command.h"
+
+#include <algorithm>
+#include <array>
+#include <fmt/format.h>
+
+using namespace dragonflystall::cli;
+
+namespace {
+
+constexpr std::array Commands = {
+    Command{"bench", "run the deterministic workloads", runBench},
+};
+
+void printCommands() {
+  fmt::print("usage: dragonflystall COMMAND [--help]\n\ncommands:\n");
+  for (const Command &C : Commands)
+    fmt::print("  {:<10} {}\n", C.Name, C.Summary);
+}
+
+} // namespace
+
+int main(int Count, char **Values) {
+  const Arguments Args(Values + 1, Values + Count);
+  if (Args.empty() || Args[0] == "--help" || Args[0] == "help") {
+    printCommands();
+    return Args.empty() ? BadUsage : Success;
+  }
+  const auto *It =
+      std::find_if(Commands.begin(), Commands.end(),
+                   [&](const Command &C) { return C.Name == Args[0]; });
+  if (It == Commands.end()) {
+    fmt::print(stderr, "unknown command '{}'\n", Args[0]);
+    return BadUsage;
+  }
+  return It->Run(Arguments(Args.begin() + 1, Args.end()));
+}
--- /dev/null
+++ b/src/platform/link.h
@@ -0,0 +1,62 @@
+// A daemon's connection to the platform's object API: watches the settings and
+// the rosters that are wanted, writes the roster, and survives outages. Its
+// thread posts what it learns; nothing here decides about traffic.
+#ifndef DRAGONFLYSTALL_SRC_PLATFORM_LINK_H
+#define DRAGONFLYSTALL_SRC_PLATFORM_LINK_H
+
+#include "dragonflystall/agentcore.h"
+#include "dragonflystall/roster.h"
+#include "dragonflystall/settings.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace dragonflystall {
+
+/// An object under settings/ as stored; Deleted is a tombstone.
+struct StoredObject {
+  std::string Key;
+  uint64_t Version = 0;
+  std::string Value;
+  bool Deleted = false;
+  friend bool operator==(const StoredObject &, const StoredObject &) = default;
+};
+
+class PlatformLink {
+public:
+  struct Listener {
+    /// Runs the task on the daemon's loop thread.
+    std::function<void(std::function<void()>)> Post;
+    /// Called on the loop thread with objects that are newer than known ones.
+    std::function<void(std::vector<StoredObject>)> OnSettings;
+    std::function<void(Roster)> OnRoster;
+    std::function<void(RosterWritten)> OnRosterWritten;
+    std::function<void(Event)> OnEvent;
+  };
+
+  PlatformLink(std::vector<Endpoint> Platform, std::string Writer,
+               Listener Owner);
+  ~PlatformLink();
+  PlatformLink(const PlatformLink &) = delete;
+  PlatformLink &operator=(const PlatformLink &) = delete;
+
+  /// Keeps the service's roster watched from now on. KnownVersion newer than
+  /// the last one delivered triggers a read at once. Any thread.
+  void wantRoster(const std::string &Team, const std::string &Name,
+                  uint64_t KnownVersion);
+  /// Conditional update; the result comes to OnRosterWritten. Any thread.
+  void updateRoster(const UpdateRoster &Update);
+  /// True while the last calls failed.
+  bool down() const;
+  uint64_t calls() const;
+
+private:
+  struct State;
+  std::unique_ptr<State> State_;
+};
+
+} // namespace dragonflystall
+
+#endif
--- /dev/null
+++ b/src/shell/udpsocket.h
@@ -0,0 +1,48 @@
+// A bound UDP socket with batched system calls (recvmmsg, sendmmsg).
+#ifndef DRAGONFLYSTALL_SRC_SHELL_UDPSOCKET_H
+#define DRAGONFLYSTALL_SRC_SHELL_UDPSOCKET_H
+
+#include "dragonflystall/types.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+
+namespace dragonflystall {
+
+/// The largest datagram that we take: a CoAP message of 1,152 bytes and our
+/// header fit well.
+constexpr size_t MaxDatagramBytes = 2048;
+
+class UdpSocket {
+public:
+  using Receiver = std::function<void(Endpoint From, std::string_view Bytes)>;
+
+  /// Binds; the error is the system's text.
+  static tl::expected<std::unique_ptr<UdpSocket>, std::string>
+  bind(Endpoint Local);
+  ~UdpSocket();
+  UdpSocket(const UdpSocket &) = delete;
+  UdpSocket &operator=(const UdpSocket &) = delete;
+
+  int descriptor() const;
+  /// Reads until the socket is empty or a few batches were read. Bytes are
+  /// valid during the call to Each only.
+  void receive(const Receiver &Each);
+  /// Copies into the batch; sends when it is full. Head and Tail form one
+  /// datagram. Datagrams that the kernel refuses are dropped and counted.
+  void send(Endpoint To, std::string_view Head, std::string_view Tail = {});
+  void flush();
+  uint64_t dropped() const;
+
+private:
+  UdpSocket();
+  struct State;
+  std::unique_ptr<State> State_;
+};
+
+} // namespace dragonflystall
+
+#endif
