Add flows, thin: roster, placement, hand-over behind src/flows/flows.h

Cause: the agent needs to know which flows it holds, to find a home and a holder for each, and to keep its part of the roster. Change: Flows announces the agent by conditional updates, exchanges rosters and heartbeats with its peers, places new flows by weighted two choices, asks all agents while a home is not settled, registers flows with their homes and hands them over when it leaves. Control messages state the sender's view of the homes (view, sequence), flows their age, hand-overs the receiver's incarnation: fields are added only.

--- /dev/null
+++ b/src/flows/fakecluster_test.h
@@ -0,0 +1,393 @@
+// Agents' Flows over a fake network, a fake platform store and virtual time.
+// Everything that happens follows from one seed.
+#ifndef DRAGONFLYSTALL_SRC_FLOWS_FAKECLUSTER_TEST_H
+#define DRAGONFLYSTALL_SRC_FLOWS_FAKECLUSTER_TEST_H
+
+#include "flows/flows.h"
+
+#include <control.pb.h>
+#include <fmt/format.h>
+#include <map>
+#include <queue>
+#include <set>
+
+namespace dragonflystall::test {
+
+/// Keeps for each flow the number of packets that it got, which has to travel
+/// along in a hand-over.
+class FakeFlowState : public FlowStateStore {
+public:
+  std::map<FlowKey, uint64_t> Count;
+  std::set<FlowKey> Busy;
+  std::set<FlowKey> Fenced;
+
+  bool busy(const FlowKey &Flow) const override { return Busy.contains(Flow); }
+  wire::FlowState exportFlow(const FlowKey &Flow, TimePoint) override {
+    wire::FlowState Result;
+    Result.add_answers()->set_message_id(static_cast<uint32_t>(Count[Flow]));
+    Count.erase(Flow);
+    Fenced.insert(Flow);
+    return Result;
+  }
+  void importFlow(const FlowKey &Flow, const wire::FlowState &State,
+                  TimePoint) override {
+    Fenced.erase(Flow);
+    Count[Flow] = State.answers(0).message_id();
+  }
+  void dropFlow(const FlowKey &Flow, TimePoint) override {
+    Count.erase(Flow);
+    Busy.erase(Flow);
+  }
+};
+
+struct FakeAgent {
+  AgentIdentity Identity;
+  FakeFlowState Store;
+  std::unique_ptr<Flows> Core;
+  bool Alive = true;
+  TimePoint PausedUntil;
+  uint64_t RosterSeen = 0;
+};
+
+struct Faults {
+  Duration LeastDelay = 1ms;
+  Duration MostDelay = 4ms;
+  unsigned DropPerMille = 0;
+  unsigned ControlDropPerMille = 0;
+  unsigned DuplicatePerMille = 0;
+  /// Until a roster or settings change reaches an agent from the platform.
+  Duration WatchDelay = 20ms;
+  bool StoreDown = false;
+  unsigned LostAnswerPerMille = 0;
+};
+
+class FakeCluster {
+public:
+  explicit FakeCluster(uint64_t Seed, unsigned Zones = 3)
+      : Rng(Seed), ZoneCount(Zones) {
+    publishSettings();
+  }
+
+  Random Rng;
+  Faults Trouble;
+  TimePoint Now{std::chrono::hours(1)};
+  std::map<std::string, FakeAgent> Agents;
+  Roster Stored;
+  uint64_t StoreVersion = 0;
+  uint64_t StoreWrites = 0;
+  Settings Wanted;
+  /// Called after each event.
+  std::function<void()> Check;
+  std::function<void(const FakeAgent &, const AgentAction &)> OnAction;
+  uint64_t Events = 0;
+  uint64_t Refusals = 0;
+  uint64_t Dropped = 0;
+  uint64_t ControlBytes = 0;
+  /// Flows that were ever given up, by the reports of the agents.
+  std::set<FlowKey> GivenUp;
+  /// Flows delivered, and the agent that got the last packet.
+  std::map<FlowKey, std::string> LastHolder;
+  unsigned ZoneCount;
+
+  static constexpr Endpoint ServiceAddress{0x7f016401, 5683};
+  static constexpr Endpoint Balancer{0x7f010101, 7000};
+  static ServiceId service() { return serviceId("team", "tags"); }
+
+  static std::string zoneName(unsigned Zone) {
+    return fmt::format("zone-{}", Zone);
+  }
+
+  void publishSettings() {
+    Wanted.Version = ++StoreVersion;
+    if (Wanted.Services.empty()) {
+      ServiceSettings S;
+      S.Team = "team";
+      S.Name = "tags";
+      S.Id = service();
+      S.Addresses = {ServiceAddress};
+      S.MaxConnections = 2000;
+      Wanted.Services.push_back(S);
+      for (unsigned I = 0; I < ZoneCount; ++I) {
+        const uint32_t Ip = 0x7f010100 + (I << 8);
+        Wanted.Zones.push_back({zoneName(I), false, {Network{Ip, 24}}});
+      }
+    }
+    auto Shared = std::make_shared<const Settings>(Wanted);
+    for (auto &[Name, Agent] : Agents)
+      after(watchDelay(), [this, Name = Name, Shared] {
+        event(Name, [&](FakeAgent &A, FlowsOutput &Out) {
+          A.Core->onSettings(Shared, Now, Out);
+        });
+      });
+  }
+
+  /// Starts an agent, or starts it anew with another incarnation.
+  void start(const std::string &Name, unsigned Zone, unsigned Host,
+             uint32_t Connections = 2000) {
+    FakeAgent &A = Agents[Name];
+    A.Store = {};
+    A.Alive = true;
+    A.PausedUntil = {};
+    A.RosterSeen = 0;
+    A.Identity.Team = "team";
+    A.Identity.Service = "tags";
+    RosterEntry &Self = A.Identity.Self;
+    Self.Name = Name;
+    Self.Agent = {agentId(Name), Incarnation{Rng() | 1}};
+    Self.Zone = zoneName(Zone);
+    const uint32_t Ip = 0x7f010100 + (Zone << 8) + 10 + Host;
+    Self.Data = {Ip, 7000};
+    Self.Control = {Ip, 7001};
+    Self.Slots = 4;
+    Self.Connections = Connections;
+    A.Core = std::make_unique<Flows>(A.Identity, Rng(), A.Store);
+    const uint64_t Start = ++Starts_;
+    StartOf_[Name] = Start;
+    FlowsOutput Out;
+    A.Core->onSettings(std::make_shared<const Settings>(Wanted), Now, Out);
+    carryOut(Name, Out);
+    tickLater(Name, Start);
+  }
+
+  void kill(const std::string &Name) {
+    Agents[Name].Alive = false;
+    ++StartOf_[Name];
+    StartOf_[Name] = ++Starts_;
+  }
+  void pause(const std::string &Name, Duration For) {
+    Agents[Name].PausedUntil = Now + For;
+  }
+  void leave(const std::string &Name) {
+    event(Name,
+          [&](FakeAgent &A, FlowsOutput &Out) { A.Core->leave(Now, Out); });
+  }
+
+  void run(Duration For) {
+    const TimePoint End = Now + For;
+    while (!Queue_.empty() && Queue_.top().At <= End) {
+      // The element is popped right after; its task may push others.
+      auto Task = std::move(const_cast<Pending &>(Queue_.top()).Task);
+      Now = std::max(Now, Queue_.top().At);
+      Queue_.pop();
+      ++Events;
+      Task();
+      if (Check)
+        Check();
+    }
+    Now = End;
+  }
+
+  /// A caller's request arrives at the agent, as if a balancer had sent it.
+  void request(const std::string &To, uint32_t Caller, bool Ticket = false) {
+    AgentPacket P;
+    P.From = Balancer;
+    P.Header.Service = service();
+    P.Header.ServiceAddress = ServiceAddress;
+    P.Header.Caller = callerOf(Caller);
+    P.Header.Balancer = Balancer;
+    P.Header.RosterVersion = Stored.Version;
+    P.Payload = "request";
+    P.Decoded.Kind = Code::Post;
+    if (Ticket)
+      P.Decoded.Echo = "ticket";
+    datagram(Agents.at(To).Identity.Self.Data, std::move(P));
+  }
+  static Endpoint callerOf(uint32_t Caller) { return {0x0a000000 + Caller, 9}; }
+  static FlowKey flowOf(uint32_t Caller) {
+    return {service(), callerOf(Caller)};
+  }
+
+  std::vector<std::string> holders(const FlowKey &Flow) const {
+    std::vector<std::string> Result;
+    for (const auto &[Name, Agent] : Agents)
+      if (Agent.Alive && Agent.Core->holds(Flow))
+        Result.push_back(Name);
+    return Result;
+  }
+  std::string anyAlive() {
+    std::vector<std::string> Names;
+    for (const auto &[Name, Agent] : Agents)
+      if (Agent.Alive)
+        Names.push_back(Name);
+    return Names.empty() ? "" : Names[Rng() % Names.size()];
+  }
+  bool paused(const FakeAgent &A) const { return A.PausedUntil > Now; }
+  Endpoint dataOf(const std::string &Name) {
+    return Agents.at(Name).Identity.Self.Data;
+  }
+  void after(Duration Delay, std::function<void()> Task) {
+    Queue_.push({Now + Delay, ++Sequence_, std::move(Task)});
+  }
+
+private:
+  struct Pending {
+    TimePoint At;
+    uint64_t Sequence;
+    std::function<void()> Task;
+    bool operator<(const Pending &Other) const {
+      return std::tie(Other.At, Other.Sequence) < std::tie(At, Sequence);
+    }
+  };
+  std::priority_queue<Pending> Queue_;
+  uint64_t Sequence_ = 0;
+  uint64_t Starts_ = 0;
+  std::map<std::string, uint64_t> StartOf_;
+
+  bool chance(unsigned PerMille) { return Rng() % 1000 < PerMille; }
+  Duration delay() {
+    const auto Span = Trouble.MostDelay - Trouble.LeastDelay;
+    return Trouble.LeastDelay +
+           Duration(Rng() % static_cast<uint64_t>(Span.count() + 1));
+  }
+  Duration watchDelay() {
+    const auto Most = static_cast<uint64_t>(Trouble.WatchDelay.count());
+    return Duration(Rng() % (Most + 1));
+  }
+
+  void tickLater(const std::string &Name, uint64_t Start) {
+    after(Duration(90ms) + Duration(Rng() % 20'000'000), [this, Name, Start] {
+      if (StartOf_[Name] != Start)
+        return;
+      event(Name, [&](FakeAgent &A, FlowsOutput &Out) {
+        A.Core->tick(Now, OwnLoad{0, 0, 4}, Out);
+      });
+      tickLater(Name, Start);
+    });
+  }
+
+  /// A paused agent gets the event when it wakes.
+  void event(const std::string &Name,
+             const std::function<void(FakeAgent &, FlowsOutput &)> &Handle) {
+    FakeAgent &A = Agents[Name];
+    if (!A.Alive)
+      return;
+    if (paused(A)) {
+      const uint64_t Start = StartOf_[Name];
+      after(A.PausedUntil - Now + 1us, [this, Name, Handle, Start] {
+        if (StartOf_[Name] == Start)
+          event(Name, Handle);
+      });
+      return;
+    }
+    FlowsOutput Out;
+    Handle(A, Out);
+    carryOut(Name, Out);
+  }
+
+  void carryOut(const std::string &Name, FlowsOutput &Out) {
+    FakeAgent &A = Agents[Name];
+    for (AgentPacket &P : Out.Deliver) {
+      const FlowKey Flow = dragonflystall::flowOf(P.Header);
+      ++A.Store.Count[Flow];
+      LastHolder[Flow] = Name;
+    }
+    for (AgentAction &Action : Out.Actions) {
+      if (OnAction)
+        OnAction(A, Action);
+      carryOut(Name, A, Action);
+    }
+  }
+
+  void carryOut(const std::string &Name, FakeAgent &A, AgentAction &Action) {
+    if (auto *Send = std::get_if<SendDatagram>(&Action)) {
+      AgentPacket P;
+      P.From = A.Identity.Self.Data;
+      P.Header = Send->Header;
+      P.Payload = Send->Payload;
+      P.Decoded.Kind = Code::Post;
+      datagram(Send->To, std::move(P));
+    } else if (auto *Peer = std::get_if<SendPeer>(&Action)) {
+      ControlBytes += Peer->Value->ByteSizeLong();
+      control(Peer->To, Peer->Value);
+    } else if (auto *Update = std::get_if<UpdateRoster>(&Action)) {
+      write(Name, *Update);
+    } else if (std::get_if<WantRoster>(&Action)) {
+      deliverRoster(Name);
+    } else if (std::get_if<SendMessage>(&Action)) {
+      ++Refusals;
+    } else if (auto *E = std::get_if<Event>(&Action)) {
+      Dropped += E->Kind == EventKind::PacketDropped ? 1 : 0;
+      if (E->Kind == EventKind::FlowGivenUp)
+        GivenUp.insert(E->Flow);
+    }
+  }
+
+  std::string nameAt(Endpoint Address) const {
+    for (const auto &[Name, Agent] : Agents)
+      if (Agent.Identity.Self.Data == Address ||
+          Agent.Identity.Self.Control == Address)
+        return Name;
+    return "";
+  }
+
+  void datagram(Endpoint To, const AgentPacket &Packet) {
+    const std::string Name = nameAt(To);
+    if (Name.empty() || chance(Trouble.DropPerMille))
+      return;
+    const int Copies = chance(Trouble.DuplicatePerMille) ? 2 : 1;
+    for (int I = 0; I < Copies; ++I)
+      after(delay(), [this, Name, Packet] {
+        event(Name, [&, Packet](FakeAgent &A, FlowsOutput &Out) {
+          A.Core->onPacket(Packet, Now, Out);
+        });
+      });
+  }
+
+  void control(Endpoint To,
+               const std::shared_ptr<const wire::ControlMessage> &Value) {
+    const std::string Name = nameAt(To);
+    if (Name.empty() || chance(Trouble.ControlDropPerMille))
+      return;
+    const int Copies = chance(Trouble.DuplicatePerMille) ? 2 : 1;
+    for (int I = 0; I < Copies; ++I)
+      after(delay(), [this, Name, Value] {
+        event(Name, [&, Value](FakeAgent &A, FlowsOutput &Out) {
+          A.Core->onPeer(*Value, Now, Out);
+        });
+      });
+  }
+
+  void write(const std::string &Name, const UpdateRoster &Update) {
+    const uint64_t Start = StartOf_[Name];
+    after(delay(), [this, Name, Update, Start] {
+      RosterWritten Result;
+      Result.Outcome = RosterWritten::Result::Unknown;
+      if (!Trouble.StoreDown) {
+        ++StoreWrites;
+        const bool Fits = Update.Expected == Stored.Version;
+        if (Fits) {
+          Stored = Update.Value;
+          Stored.Version = ++StoreVersion;
+          for (const auto &[Other, Agent] : Agents)
+            deliverRoster(Other);
+        }
+        const bool Lost = chance(Trouble.LostAnswerPerMille);
+        if (!Lost) {
+          Result.Outcome = Fits ? RosterWritten::Result::Written
+                                : RosterWritten::Result::Conflict;
+          Result.Stored = Stored;
+        }
+      }
+      after(delay(), [this, Name, Result, Start] {
+        if (StartOf_[Name] == Start)
+          event(Name, [&](FakeAgent &A, FlowsOutput &Out) {
+            A.Core->onRosterWritten(Result, Now, Out);
+          });
+      });
+    });
+  }
+
+  void deliverRoster(const std::string &Name) {
+    after(watchDelay(), [this, Name] {
+      if (Trouble.StoreDown || Stored.Version == 0)
+        return;
+      event(Name, [&, Value = Stored](FakeAgent &A, FlowsOutput &Out) {
+        A.Core->onRoster(Value, Now, Out);
+      });
+    });
+  }
+};
+
+} // namespace dragonflystall::test
+
+#endif
--- /dev/null
+++ b/src/flows/handover.cpp
@@ -0,0 +1,217 @@
+// Moving flows to successors when this agent leaves, and taking flows over. A
+// successor owns a flow from the hand-over on; the giver takes it back only if
+// the successor says that it never took it.
+#include "state.h"
+
+#include "wire/convert.h"
+
+#include <algorithm>
+
+namespace dragonflystall {
+
+void Flows::State::handOver(TimePoint Now, FlowsOutput &Out) {
+  if (!Others.leaving() || Others.superseded() || Context.ownZoneOut())
+    return;
+  std::map<AgentRef, std::vector<Endpoint>> BySuccessor;
+  size_t Budget =
+      MaxHandOverBatches - std::min(MaxHandOverBatches, HandOvers.size());
+  Budget *= MaxHandOverFlows;
+  for (Endpoint Caller : Held.select([&](Endpoint C, const HeldFlow &Flow) {
+         return Flow.Batch == 0 && !Store.busy(Context.flow(C));
+       })) {
+    if (Budget-- == 0)
+      break;
+    const auto Candidates =
+        Others.candidates(Context.self().Id, Held.size(), Load, Now);
+    const Candidate *Chosen = choose(Candidates, Context.Rng);
+    if (!Chosen)
+      break;
+    Others.notePlaced(Chosen->Agent.Id, Now);
+    BySuccessor[Chosen->Agent].push_back(Caller);
+  }
+  for (auto &[Successor, Callers] : BySuccessor)
+    handOverTo(Successor, std::move(Callers), Now, Out);
+}
+
+void Flows::State::handOverTo(AgentRef Successor, std::vector<Endpoint> Flows,
+                              TimePoint Now, FlowsOutput &Out) {
+  size_t Next = 0;
+  while (Next < Flows.size()) {
+    const uint64_t Id = Context.nextId();
+    HandOverBatch &Batch = HandOvers[Id];
+    Batch.Successor = Successor;
+    Batch.SentAt = Now;
+    Batch.Message = Context.newMessage();
+    wire::HandOver &Body = *Batch.Message->mutable_hand_over();
+    Body.set_id(Id);
+    Body.set_receiver(static_cast<uint64_t>(Successor.Start));
+    size_t Bytes = 0;
+    for (; Next < Flows.size(); ++Next) {
+      const bool Full =
+          static_cast<size_t>(Body.flows_size()) == MaxHandOverFlows ||
+          Bytes >= MaxHandOverBytes;
+      if (Full)
+        break;
+      const FlowKey Flow = Context.flow(Flows[Next]);
+      wire::FlowState &Target = *Body.add_flows();
+      Target = Store.exportFlow(Flow, Now);
+      *Target.mutable_flow() = wire::toWire(Flow);
+      Bytes += Target.ByteSizeLong();
+      Held.find(Flows[Next])->Batch = Id;
+    }
+    sendPeer(Context, Others.find(Successor.Id)->Entry.Control, Batch.Message,
+             Out);
+  }
+}
+
+// The same batch gets the same answer, however often and late it comes.
+void Flows::State::onHandOver(const wire::ControlMessage &Value,
+                              const Peer &From, TimePoint Now,
+                              FlowsOutput &Out) {
+  const wire::HandOver &Body = Value.hand_over();
+  if (Incarnation{Body.receiver()} != Context.self().Start)
+    return;
+  GivenReply &Given = GivenReplies[{From.Entry.Agent, Body.id()}];
+  if (!Given.Message) {
+    Given.Message = Context.newMessage();
+    wire::HandOverReply &Reply = *Given.Message->mutable_hand_over_reply();
+    Reply.set_id(Body.id());
+    for (const wire::FlowState &Flow : Body.flows()) {
+      const bool Taken = takeOver(Flow, Now, Out);
+      *(Taken ? Reply.add_taken() : Reply.add_refused()) = Flow.flow();
+    }
+  }
+  Given.At = Now;
+  sendPeer(Context, From.Entry.Control, Given.Message, Out);
+}
+
+bool Flows::State::takeOver(const wire::FlowState &Value, TimePoint Now,
+                            FlowsOutput &Out) {
+  const auto Key = wire::fromWire(Value.flow(), Context.Service);
+  if (!Key || Held.find(Key->Caller) || Others.leaving() || !Others.listed() ||
+      Others.superseded() ||
+      Held.size() >= Context.capacity(Context.Identity.Self.Connections))
+    return false;
+  Store.importFlow(*Key, Value, Now);
+  Tombstones.erase(Key->Caller);
+  Moved.erase(Key->Caller);
+  HeldFlow Flow;
+  Flow.Accepted = Now;
+  Flow.LastUsed = Now;
+  Held.insert(Key->Caller, Flow);
+  Unregistered.push_back(Key->Caller);
+  Out.Actions.emplace_back(
+      flowEvent(EventKind::FlowTakenOver, *Key, AgentId::None));
+  return true;
+}
+
+void Flows::State::onHandOverReply(const wire::ControlMessage &Value,
+                                   TimePoint Now, FlowsOutput &Out) {
+  const wire::HandOverReply &Reply = Value.hand_over_reply();
+  const auto It = HandOvers.find(Reply.id());
+  if (It == HandOvers.end() ||
+      It->second.Successor != wire::fromWire(Value.sender()))
+    return;
+  HandOverBatch Batch = std::move(It->second);
+  HandOvers.erase(It);
+  std::vector<AgentPacket> Parked = unpark(Batch.Parked);
+  for (const wire::Flow &Flow : Reply.taken()) {
+    const auto Key = wire::fromWire(Flow, Context.Service);
+    if (!Key || !Held.erase(Key->Caller))
+      continue;
+    Moved.insert(Key->Caller, {Batch.Successor, Now});
+    LastMoved = Now;
+    Out.Actions.emplace_back(
+        flowEvent(EventKind::FlowHandedOver, *Key, Batch.Successor.Id));
+  }
+  for (const wire::FlowState &State : Batch.Message->hand_over().flows()) {
+    const auto Key = wire::fromWire(State.flow(), Context.Service);
+    HeldFlow *Flow = Held.find(Key->Caller);
+    if (!Flow || Flow->Batch != Reply.id())
+      continue;
+    Flow->Batch = 0;
+    Store.importFlow(*Key, State, Now);
+  }
+  if (Reply.refused_size() > 0)
+    Others.noteRefused(Batch.Successor.Id, Now);
+  for (AgentPacket &Packet : Parked)
+    onRequest(std::move(Packet), Now, Out);
+}
+
+void Flows::State::retryHandOvers(TimePoint Now, FlowsOutput &Out) {
+  std::vector<uint64_t> Lost;
+  for (auto &[Id, Batch] : HandOvers) {
+    const Peer *Successor = Others.usable(Batch.Successor);
+    if (!Successor) {
+      Lost.push_back(Id);
+      continue;
+    }
+    if (Now - Batch.SentAt < HandOverRetry)
+      continue;
+    Batch.SentAt = Now;
+    sendPeer(Context, Successor->Entry.Control, Batch.Message, Out);
+  }
+  for (uint64_t Id : Lost) {
+    HandOverBatch Batch = std::move(HandOvers[Id]);
+    HandOvers.erase(Id);
+    abandon(Batch, Now, Out);
+  }
+}
+
+// The successor is gone and may have run requests of these flows: they stay
+// fenced here and start anew elsewhere.
+void Flows::State::abandon(HandOverBatch &Batch, TimePoint Now,
+                           FlowsOutput &Out) {
+  std::vector<AgentPacket> Parked = unpark(Batch.Parked);
+  for (const wire::FlowState &State : Batch.Message->hand_over().flows()) {
+    const auto Key = wire::fromWire(State.flow(), Context.Service);
+    const HeldFlow *Flow = Held.find(Key->Caller);
+    if (Flow && Flow->Batch == Batch.Message->hand_over().id())
+      giveUp(Key->Caller, Now, Out);
+  }
+  for (AgentPacket &Packet : Parked)
+    toHome(std::move(Packet), Now, Out);
+}
+
+void Flows::State::finishLeaving(TimePoint Now, FlowsOutput &Out) {
+  if (!StopWanted)
+    return;
+  const bool NobodyTakes =
+      Now - LeavingSince >= LeaveBound &&
+      Others.candidates(Context.self().Id, 0, Load, Now).empty();
+  if (NobodyTakes && HandOvers.empty())
+    for (Endpoint Caller : Held.select([&](Endpoint C, const HeldFlow &) {
+           return !Store.busy(Context.flow(C));
+         }))
+      giveUp(Caller, Now, Out);
+  if (!Held.empty()) {
+    EmptySince.reset();
+    return;
+  }
+  if (!EmptySince)
+    EmptySince = Now;
+  Members.leaveRoster();
+}
+
+// Empty, and either out of the roster or unable to write that in time: then
+// the peers remove the entry.
+bool Flows::State::doneLeaving() const {
+  if (!EmptySince || !Held.empty())
+    return false;
+  if (LastMoved != TimePoint::min() && LastRun - LastMoved < Linger)
+    return false;
+  return Members.left() || LastRun - *EmptySince >= LeaveBound;
+}
+
+void Flows::State::sweepMoved(TimePoint Now) {
+  if (!Others.leaving())
+    for (Endpoint Caller : Moved.select([&](Endpoint, const MovedFlow &M) {
+           return Now - M.At >= MovedLifetime;
+         }))
+      Moved.erase(Caller);
+  std::erase_if(GivenReplies, [&](const auto &G) {
+    return Now - G.second.At >= ReplyMemory;
+  });
+}
+
+} // namespace dragonflystall
--- /dev/null
+++ b/src/flows/holder.cpp
@@ -0,0 +1,248 @@
+// Flows held here: accepting them, registering them with their homes, and
+// giving them up. The table is the only truth of who holds a flow.
+#include "state.h"
+
+#include "wire/convert.h"
+
+#include <algorithm>
+
+namespace dragonflystall {
+
+uint32_t homeTag(AgentRef Home) {
+  uint64_t Hash = static_cast<uint64_t>(Home.Start) ^
+                  (static_cast<uint64_t>(Home.Id) << 32);
+  Hash *= 0x9e3779b97f4a7c15ULL;
+  return static_cast<uint32_t>(Hash >> 32) | 1;
+}
+
+bool Flows::State::mayAccept(Endpoint Caller) const {
+  if (!Others.listed() || Others.leaving() || Others.superseded())
+    return false;
+  if (Tombstones.find(Caller))
+    return false;
+  return Held.size() < Context.capacity(Context.Identity.Self.Connections);
+}
+
+void Flows::State::accept(AgentPacket Packet, TimePoint Now, FlowsOutput &Out) {
+  const Endpoint Caller = Packet.Header.Caller;
+  HeldFlow Flow;
+  Flow.Accepted = Now;
+  Flow.LastUsed = Now;
+  const Peer *Home = Others.homeOf(Caller);
+  const bool KnowsIt = Home && (Home->Self || Home->Entry.Data == Packet.From);
+  if (Home && Home->Self)
+    know(Caller, Context.self(), Now, Now);
+  if (KnowsIt)
+    Flow.HomeTag = homeTag(Home->Entry.Agent);
+  else
+    Unregistered.push_back(Caller);
+  Held.insert(Caller, Flow);
+  Out.Actions.emplace_back(
+      flowEvent(EventKind::FlowAccepted, Context.flow(Caller), AgentId::None));
+  Out.Deliver.push_back(std::move(Packet));
+}
+
+void Flows::State::giveUp(Endpoint Caller, TimePoint Now, FlowsOutput &Out) {
+  Held.erase(Caller);
+  Store.dropFlow(Context.flow(Caller), Now);
+  Tombstones.insert(Caller, Now + TombstoneLifetime);
+  Out.Actions.emplace_back(
+      flowEvent(EventKind::FlowGivenUp, Context.flow(Caller), AgentId::None));
+}
+
+void Flows::State::giveUpAll(TimePoint Now, FlowsOutput &Out) {
+  for (Endpoint Caller : Held.select([](Endpoint, auto &) { return true; }))
+    giveUp(Caller, Now, Out);
+  for (auto &[Id, Batch] : HandOvers)
+    unpark(Batch.Parked);
+  HandOvers.clear();
+  Moved.clear();
+  Known.clear();
+  Unregistered.clear();
+  ToRefresh.clear();
+  Registering.clear();
+}
+
+// The homes changed: registers the flows whose home is another one now.
+void Flows::State::scanHomes(TimePoint Now, FlowsOutput &Out) {
+  ScannedView = Others.view();
+  Unregistered.clear();
+  std::erase_if(Registering, [](const auto &B) { return !B.second.Refresh; });
+  Held.forEach([&](Endpoint Caller, HeldFlow &Flow) {
+    const Peer *Home = Others.homeOf(Caller);
+    if (!Home || Flow.HomeTag == homeTag(Home->Entry.Agent))
+      return;
+    Flow.HomeTag = 0;
+    Unregistered.push_back(Caller);
+  });
+  sendRegisters(Unregistered, false, Now, Out);
+}
+
+void Flows::State::registerAll() {
+  Unregistered.clear();
+  Held.forEach([&](Endpoint Caller, HeldFlow &Flow) {
+    Flow.HomeTag = 0;
+    Unregistered.push_back(Caller);
+  });
+}
+
+// Every agent that this one can reach has its flows registered as far as it
+// can: only then it states its view, on which a home's certainty rests.
+bool Flows::State::registered() const {
+  if (ScannedView != Others.view() || !Unregistered.empty())
+    return false;
+  return std::all_of(Registering.begin(), Registering.end(),
+                     [](const auto &B) { return B.second.Refresh; });
+}
+
+void Flows::State::sendRegisters(std::deque<Endpoint> &Queue, bool Refresh,
+                                 TimePoint Now, FlowsOutput &Out) {
+  std::map<AgentRef, std::vector<Endpoint>> ByHome;
+  size_t Budget = MaxRegisterBatch * MaxRegisterBatchesPerRound;
+  for (; !Queue.empty() && Budget > 0; --Budget) {
+    const Endpoint Caller = Queue.front();
+    Queue.pop_front();
+    HeldFlow *Flow = Held.find(Caller);
+    const Peer *Home = Flow ? Others.homeOf(Caller) : nullptr;
+    if (!Home)
+      continue;
+    if (!Home->Self) {
+      ByHome[Home->Entry.Agent].push_back(Caller);
+      continue;
+    }
+    Flow->HomeTag = homeTag(Context.self());
+    if (registerFlow(Caller, Context.self(), Flow->Accepted, Now, Out))
+      giveUp(Caller, Now, Out);
+  }
+  for (auto &[Home, Callers] : ByHome)
+    for (size_t I = 0; I < Callers.size(); I += MaxRegisterBatch) {
+      const auto First = Callers.begin() + static_cast<ptrdiff_t>(I);
+      const auto Last =
+          Callers.begin() + static_cast<ptrdiff_t>(
+                                std::min(I + MaxRegisterBatch, Callers.size()));
+      const uint64_t Id = Context.nextId();
+      RegisterBatch &Batch = Registering[Id];
+      Batch = {Home, Now, {First, Last}, Refresh};
+      sendRegister(Id, Batch, Now, Out);
+    }
+}
+
+void Flows::State::sendRegister(uint64_t Id, RegisterBatch &Batch,
+                                TimePoint Now, FlowsOutput &Out) {
+  const Peer *Home = Others.usable(Batch.Home);
+  if (!Home)
+    return;
+  Batch.SentAt = Now;
+  ControlPtr Message = Context.newMessage();
+  wire::Register &Body = *Message->mutable_register_();
+  Body.set_id(Id);
+  for (Endpoint Caller : Batch.Flows) {
+    const HeldFlow *Flow = Held.find(Caller);
+    if (!Flow)
+      continue;
+    wire::Flow &Target = *Body.add_flows();
+    Target = wire::toWire(Context.flow(Caller));
+    Target.set_age_ms(ageMs(Flow->Accepted, Now));
+  }
+  sendPeer(Context, Home->Entry.Control, std::move(Message), Out);
+}
+
+// Under id 0 a home reports a newer holder; registering again settles it.
+void Flows::State::onRegisterReply(const wire::ControlMessage &Value,
+                                   TimePoint Now, FlowsOutput &Out) {
+  const wire::RegisterReply &Body = Value.register_reply();
+  const auto It = Registering.find(Body.id());
+  if (Body.id() != 0 && It == Registering.end())
+    return;
+  if (It != Registering.end()) {
+    for (Endpoint Caller : It->second.Flows)
+      if (HeldFlow *Flow = Held.find(Caller))
+        Flow->HomeTag = homeTag(It->second.Home);
+    Registering.erase(It);
+  }
+  for (const wire::Located &Conflict : Body.conflicts()) {
+    const auto Key = wire::fromWire(Conflict.flow(), Context.Service);
+    HeldFlow *Flow = Key ? Held.find(Key->Caller) : nullptr;
+    if (!Flow || Flow->Batch != 0)
+      continue;
+    const AgentRef Winner = wire::fromWire(Conflict.holder());
+    if (!Conflict.has_holder())
+      Unregistered.push_back(Key->Caller);
+    else if (Winner != Context.self() &&
+             winsOver(acceptedAt(Conflict.flow(), Now), Winner, Flow->Accepted,
+                      Context.self()))
+      giveUp(Key->Caller, Now, Out);
+  }
+}
+
+void Flows::State::retryRegisters(TimePoint Now, FlowsOutput &Out) {
+  std::vector<uint64_t> Gone;
+  for (auto &[Id, Batch] : Registering) {
+    if (!Others.usable(Batch.Home))
+      Gone.push_back(Id);
+    else if (Now - Batch.SentAt >= RegisterRetry)
+      sendRegister(Id, Batch, Now, Out);
+  }
+  for (uint64_t Id : Gone) {
+    for (Endpoint Caller : Registering[Id].Flows)
+      Unregistered.push_back(Caller);
+    Registering.erase(Id);
+  }
+}
+
+// Forgets flows that were idle for too long, and registers all others from time
+// to time, so that their homes may forget what nobody registers.
+void Flows::State::sweepHeld(TimePoint Now, FlowsOutput &Out) {
+  const Duration Idle = Context.service() ? Context.service()->FlowIdleTimeout
+                                          : ServiceSettings{}.FlowIdleTimeout;
+  std::map<AgentRef, std::vector<Endpoint>> Ended;
+  for (Endpoint Caller : Held.select([&](Endpoint C, const HeldFlow &Flow) {
+         return Now - Flow.LastUsed >= Idle && Flow.Batch == 0 &&
+                !Store.busy(Context.flow(C));
+       })) {
+    Held.erase(Caller);
+    Store.dropFlow(Context.flow(Caller), Now);
+    const Peer *Home = Others.homeOf(Caller);
+    if (Home && Home->Self)
+      Known.erase(Caller);
+    else if (Home)
+      Ended[Home->Entry.Agent].push_back(Caller);
+  }
+  for (const auto &[Home, Callers] : Ended) {
+    ControlPtr Message = Context.newMessage();
+    for (Endpoint Caller : Callers)
+      *Message->mutable_unregister()->add_flows() =
+          wire::toWire(Context.flow(Caller));
+    sendPeer(Context, Others.find(Home.Id)->Entry.Control, Message, Out);
+  }
+  for (Endpoint Caller : Tombstones.select(
+           [&](Endpoint, TimePoint Until) { return Until <= Now; }))
+    Tombstones.erase(Caller);
+  if (Now < NextRefresh)
+    return;
+  NextRefresh = Now + RefreshPeriod;
+  Held.forEach(
+      [&](Endpoint Caller, const HeldFlow &) { ToRefresh.push_back(Caller); });
+}
+
+// Whoever suspected this agent may have placed its flows elsewhere. Once it is
+// trusted again, all flows are registered anew, which shows the conflicts.
+void Flows::State::noteSuspicion(const wire::ControlMessage &Value) {
+  if (!Value.has_heartbeat())
+    return;
+  const AgentId Sender{Value.sender().id()};
+  const auto &Suspects = Value.heartbeat().suspects();
+  const bool Suspected =
+      std::any_of(Suspects.begin(), Suspects.end(), [&](const wire::Agent &A) {
+        return wire::fromWire(A) == Context.self();
+      });
+  const auto It = std::find(SuspectedBy.begin(), SuspectedBy.end(), Sender);
+  if (Suspected && It == SuspectedBy.end())
+    SuspectedBy.push_back(Sender);
+  if (Suspected || It == SuspectedBy.end())
+    return;
+  SuspectedBy.erase(It);
+  registerAll();
+}
+
+} // namespace dragonflystall
--- /dev/null
+++ b/src/flows/locate.cpp
@@ -0,0 +1,206 @@
+// A home that can't be sure to know all holders asks every agent of the service
+// before it places a flow; the flow's packets wait for a bounded time.
+#include "state.h"
+
+#include "wire/convert.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace dragonflystall {
+
+namespace {
+
+/// Of two homes that ask about one flow at the same time, the one with the
+/// newer roster places it, then the one with the newer settings.
+using Seniority = std::tuple<uint64_t, uint64_t, uint32_t>;
+
+Seniority seniorityOf(const wire::ControlMessage &Value) {
+  return {Value.roster_version(), Value.settings_version(),
+          ~Value.sender().id()};
+}
+
+Seniority seniorityOf(const FlowsContext &Context) {
+  const uint64_t Settings = Context.Settings ? Context.Settings->Version : 0;
+  return {Context.RosterVersion, Settings,
+          ~static_cast<uint32_t>(Context.self().Id)};
+}
+
+} // namespace
+
+void Flows::State::locate(AgentPacket Packet, TimePoint Now, FlowsOutput &Out) {
+  const Endpoint Caller = Packet.Header.Caller;
+  if (!isRequest(Packet.Decoded.Kind)) {
+    drop(Packet, "no flow", Out);
+    return;
+  }
+  const auto Asked = Others.reachable();
+  if (Asked.empty()) {
+    place(std::move(Packet), AgentId::None, Now, Out);
+    return;
+  }
+  Located Waiting;
+  Waiting.Since = Now;
+  for (const Peer *P : Asked)
+    Waiting.Waiting.push_back(P->Entry.Agent.Id);
+  if (!park(Packet, Waiting.Packets)) {
+    drop(Packet, "too many packets wait", Out);
+    return;
+  }
+  Locating.insert(Caller, std::move(Waiting));
+  ToAsk.push_back(Caller);
+}
+
+void Flows::State::ask(TimePoint Now, FlowsOutput &Out) {
+  const bool Soon = LastAsked != TimePoint::min() &&
+                    Now - LastAsked < LocateSpacing &&
+                    ToAsk.size() < MaxLocateBatch;
+  if (ToAsk.empty() || Soon)
+    return;
+  LastAsked = Now;
+  for (const Peer *P : Others.reachable()) {
+    ControlPtr Message = Context.newMessage();
+    wire::Locate &Body = *Message->mutable_locate();
+    Body.set_id(Context.nextId());
+    for (Endpoint Caller : ToAsk) {
+      const Located *Waiting = Locating.find(Caller);
+      if (Waiting && std::count(Waiting->Waiting.begin(),
+                                Waiting->Waiting.end(), P->Entry.Agent.Id))
+        *Body.add_flows() = wire::toWire(Context.flow(Caller));
+    }
+    if (Body.flows_size() > 0)
+      sendPeer(Context, P->Entry.Control, std::move(Message), Out);
+  }
+  ToAsk.clear();
+}
+
+void Flows::State::onLocate(const wire::ControlMessage &Value, const Peer &From,
+                            TimePoint Now, FlowsOutput &Out) {
+  ControlPtr Reply = Context.newMessage();
+  Reply->mutable_locate_reply()->set_id(Value.locate().id());
+  for (const wire::Flow &Flow : Value.locate().flows())
+    if (const auto Key = wire::fromWire(Flow, Context.Service))
+      *Reply->mutable_locate_reply()->add_flows() =
+          answerLocate(Key->Caller, Value, From, Now, Out);
+  sendPeer(Context, From.Entry.Control, std::move(Reply), Out);
+}
+
+// An answer "not here" leaves the flow to the asker for a while: this agent
+// will not place it in the meantime, whatever its own view of homes is.
+wire::Located Flows::State::answerLocate(Endpoint Caller,
+                                         const wire::ControlMessage &Asked,
+                                         const Peer &From, TimePoint Now,
+                                         FlowsOutput &Out) {
+  wire::Located Result;
+  *Result.mutable_flow() = wire::toWire(Context.flow(Caller));
+  if (const HeldFlow *Flow = Held.find(Caller)) {
+    *Result.mutable_holder() = wire::toWire(Context.self());
+    Result.mutable_flow()->set_age_ms(ageMs(Flow->Accepted, Now));
+    return Result;
+  }
+  if (const MovedFlow *Gone = Moved.find(Caller)) {
+    *Result.mutable_holder() = wire::toWire(Gone->Successor);
+    Result.mutable_flow()->set_age_ms(ageMs(Gone->At, Now));
+    return Result;
+  }
+  if (Locating.find(Caller)) {
+    if (seniorityOf(Context) > seniorityOf(Asked)) {
+      *Result.mutable_holder() = wire::toWire(Context.self());
+      Result.set_pending(true);
+      return Result;
+    }
+    yieldTo(Caller, From, Out);
+  }
+  const DirectoryEntry *Entry = Known.find(Caller);
+  if (Entry && Others.usable(Entry->Holder)) {
+    *Result.mutable_holder() = wire::toWire(Entry->Holder);
+    Result.mutable_flow()->set_age_ms(ageMs(Entry->Accepted, Now));
+    return Result;
+  }
+  if (Promises.size() < MaxPromises)
+    Promises.insert(Caller, {From.Entry.Agent.Id, Now + PromiseLifetime});
+  return Result;
+}
+
+void Flows::State::onLocateReply(const wire::ControlMessage &Value,
+                                 const Peer &From, TimePoint Now,
+                                 FlowsOutput &Out) {
+  const AgentRef Sender = From.Entry.Agent;
+  for (const wire::Located &Answer : Value.locate_reply().flows()) {
+    const auto Key = wire::fromWire(Answer.flow(), Context.Service);
+    Located *Waiting = Key ? Locating.find(Key->Caller) : nullptr;
+    if (!Waiting)
+      continue;
+    std::erase(Waiting->Waiting, Sender.Id);
+    const AgentRef Holder = wire::fromWire(Answer.holder());
+    const TimePoint Accepted = acceptedAt(Answer.flow(), Now);
+    if (Answer.pending())
+      yieldTo(Key->Caller, From, Out);
+    else if (Answer.has_holder() && Holder == Sender)
+      found(Key->Caller, {Holder, Accepted}, Now, Out);
+    else {
+      if (Answer.has_holder())
+        Waiting->Best = Claim{Holder, Accepted};
+      if (Waiting->Waiting.empty())
+        resolve(Key->Caller, Now, Out);
+    }
+  }
+}
+
+void Flows::State::found(Endpoint Caller, const Claim &By, TimePoint Now,
+                         FlowsOutput &Out) {
+  Located *Waiting = Locating.find(Caller);
+  if (!Waiting)
+    return;
+  std::vector<AgentPacket> Packets = unpark(Waiting->Packets);
+  Locating.erase(Caller);
+  know(Caller, By.Holder, By.Accepted, Now);
+  for (AgentPacket &Packet : Packets)
+    toHolder(std::move(Packet), By.Holder, Now, Out);
+}
+
+void Flows::State::yieldTo(Endpoint Caller, const Peer &To, FlowsOutput &Out) {
+  Located *Waiting = Locating.find(Caller);
+  std::vector<AgentPacket> Packets = unpark(Waiting->Packets);
+  Locating.erase(Caller);
+  for (AgentPacket &Packet : Packets)
+    pass(std::move(Packet), To, false, Out);
+}
+
+// All have answered, or the silent ones are left out.
+void Flows::State::resolve(Endpoint Caller, TimePoint Now, FlowsOutput &Out) {
+  const std::optional<Claim> Best = Locating.find(Caller)->Best;
+  if (Best && Others.usable(Best->Holder)) {
+    found(Caller, *Best, Now, Out);
+    return;
+  }
+  std::vector<AgentPacket> Packets = unpark(Locating.find(Caller)->Packets);
+  Locating.erase(Caller);
+  for (AgentPacket &Packet : Packets) {
+    const Peer *Home = Others.homeOf(Caller);
+    const DirectoryEntry *Entry = Known.find(Caller);
+    const bool Fresh = Entry && Entry->Episode == Others.episode();
+    if (!Home || !Home->Self || Fresh)
+      toHome(std::move(Packet), Now, Out);
+    else
+      place(std::move(Packet), AgentId::None, Now, Out);
+  }
+}
+
+void Flows::State::tickLocate(TimePoint Now, FlowsOutput &Out) {
+  std::vector<Endpoint> Overdue;
+  Locating.forEach([&](Endpoint Caller, Located &Waiting) {
+    if (Now - Waiting.Since >= LocateWait)
+      Overdue.push_back(Caller);
+    else if (Now - Waiting.Since >= LocateAskAgain && !Waiting.AskedAgain) {
+      Waiting.AskedAgain = true;
+      ToAsk.push_back(Caller);
+    }
+  });
+  for (Endpoint Caller : Overdue)
+    if (Locating.find(Caller))
+      resolve(Caller, Now, Out);
+  ask(Now, Out);
+}
+
+} // namespace dragonflystall
--- /dev/null
+++ b/src/flows/packets.cpp
@@ -0,0 +1,172 @@
+// The data path: which packets are let in, and where each goes.
+#include "state.h"
+
+#include "requests/reply.h"
+#include "wire/convert.h"
+
+#include <algorithm>
+
+namespace dragonflystall {
+
+// A packet is for the service at the address that the caller used, and comes
+// from one of our processes in a zone that is in; anything else is dropped.
+bool Flows::State::admits(const AgentPacket &Packet, FlowsOutput &Out) {
+  const ServiceSettings *Service = Context.service();
+  if (!Service) {
+    drop(Packet, "no settings", Out);
+    return false;
+  }
+  if (Context.ownZoneOut() || !Context.trusts(Packet.From.Ip)) {
+    drop(Packet, "zone out or unknown sender", Out);
+    return false;
+  }
+  const PacketHeader &H = Packet.Header;
+  if (H.Kind == PacketKind::Probe)
+    return H.Service == Context.Service;
+  const auto &Addresses = Service->Addresses;
+  if (H.Kind != PacketKind::Request || H.Service != Context.Service ||
+      std::find(Addresses.begin(), Addresses.end(), H.ServiceAddress) ==
+          Addresses.end()) {
+    drop(Packet, "another service", Out);
+    return false;
+  }
+  return true;
+}
+
+void Flows::State::answerProbe(const AgentPacket &Packet, FlowsOutput &Out) {
+  PacketHeader Reply = Packet.Header;
+  Reply.Kind = PacketKind::ProbeReply;
+  Reply.RosterVersion = Others.roster().Version;
+  Reply.Holder = Context.self().Id;
+  Out.Actions.push_back(SendDatagram{Packet.From, Reply, Packet.Payload});
+}
+
+void Flows::State::onRequest(AgentPacket Packet, TimePoint Now,
+                             FlowsOutput &Out) {
+  if (HeldFlow *Flow = Held.find(Packet.Header.Caller)) {
+    deliver(std::move(Packet), *Flow, Now, Out);
+    return;
+  }
+  if (forwardMoved(Packet, Out))
+    return;
+  if (Packet.Header.Placed)
+    onPlaced(std::move(Packet), Now, Out);
+  else
+    toHome(std::move(Packet), Now, Out);
+}
+
+void Flows::State::deliver(AgentPacket Packet, HeldFlow &Flow, TimePoint Now,
+                           FlowsOutput &Out) {
+  Flow.LastUsed = Now;
+  if (Flow.Batch == 0) {
+    Out.Deliver.push_back(std::move(Packet));
+    return;
+  }
+  if (!park(Packet, HandOvers.at(Flow.Batch).Parked))
+    drop(Packet, "too many packets wait", Out);
+}
+
+bool Flows::State::forwardMoved(AgentPacket &Packet, FlowsOutput &Out) {
+  const MovedFlow *Gone = Moved.find(Packet.Header.Caller);
+  if (!Gone)
+    return false;
+  const Peer *Successor = Others.usable(Gone->Successor);
+  if (!Successor) {
+    Moved.erase(Packet.Header.Caller);
+    return false;
+  }
+  pass(std::move(Packet), *Successor, true, Out);
+  return true;
+}
+
+// The home itself gets a placed packet back when the holder refused it.
+void Flows::State::onPlaced(AgentPacket Packet, TimePoint Now,
+                            FlowsOutput &Out) {
+  const Endpoint Caller = Packet.Header.Caller;
+  const DirectoryEntry *Entry = Known.find(Caller);
+  const Peer *Home = Others.homeOf(Caller);
+  if (Home && Home->Self && Entry && Entry->Holder != Context.self()) {
+    routeAsHome(std::move(Packet), Now, Out);
+    return;
+  }
+  if (mayAccept(Caller)) {
+    accept(std::move(Packet), Now, Out);
+    return;
+  }
+  Out.Actions.emplace_back(flowEvent(EventKind::FlowRefused,
+                                     Context.flow(Caller), Context.self().Id));
+  const Peer *Placer = Others.byData(Packet.From);
+  if (Placer && !Placer->Self)
+    pass(std::move(Packet), *Placer, true, Out);
+  else
+    toHome(std::move(Packet), Now, Out);
+}
+
+void Flows::State::toHome(AgentPacket Packet, TimePoint Now, FlowsOutput &Out) {
+  const Peer *Home = Others.homeOf(Packet.Header.Caller);
+  if (!Home)
+    refuse(Packet, Out);
+  else if (Home->Self)
+    routeAsHome(std::move(Packet), Now, Out);
+  else
+    pass(std::move(Packet), *Home, false, Out);
+}
+
+void Flows::State::pass(AgentPacket Packet, const Peer &To, bool Placed,
+                        FlowsOutput &Out) {
+  PacketHeader &H = Packet.Header;
+  if (H.Hops >= MaxHops) {
+    drop(Packet, "too many hops", Out);
+    return;
+  }
+  ++H.Hops;
+  H.Placed = Placed;
+  H.RosterVersion = std::max(H.RosterVersion, Others.roster().Version);
+  Out.Actions.emplace_back(SendDatagram{To.Entry.Data, H, Packet.Payload});
+}
+
+// Nobody can take the flow. A request with a ticket may have run before.
+void Flows::State::refuse(const AgentPacket &Packet, FlowsOutput &Out) {
+  if (!isRequest(Packet.Decoded.Kind)) {
+    drop(Packet, "no flow", Out);
+    return;
+  }
+  const Verdict V = Packet.Decoded.Echo ? Verdict::MayHaveRun : Verdict::NotRun;
+  const auto MessageId = static_cast<uint16_t>(Context.nextId());
+  Out.Actions.emplace_back(
+      flowEvent(EventKind::FlowRefused, flowOf(Packet.Header), AgentId::None));
+  Out.Actions.emplace_back(SendMessage{
+      Packet.Header.Balancer, replyHeader(Packet.Header, AgentId::None),
+      refusalTo(Packet.Decoded, V, RefusalRetryAfter, MessageId)});
+}
+
+void Flows::State::drop(const AgentPacket &Packet, std::string_view Why,
+                        FlowsOutput &Out) {
+  Event E =
+      flowEvent(EventKind::PacketDropped, flowOf(Packet.Header), AgentId::None);
+  E.Detail = Why;
+  Out.Actions.emplace_back(std::move(E));
+}
+
+bool Flows::State::park(AgentPacket &Packet, std::vector<AgentPacket> &Into) {
+  const bool Full = Into.size() >= MaxParkedPerFlow * MaxHandOverFlows ||
+                    ParkedPackets >= MaxParkedPackets ||
+                    ParkedBytes + Packet.Payload.size() > MaxParkedBytes;
+  if (Full)
+    return false;
+  ++ParkedPackets;
+  ParkedBytes += Packet.Payload.size();
+  Into.push_back(std::move(Packet));
+  return true;
+}
+
+std::vector<AgentPacket> Flows::State::unpark(std::vector<AgentPacket> &From) {
+  std::vector<AgentPacket> Result = std::move(From);
+  From.clear();
+  ParkedPackets -= Result.size();
+  for (const AgentPacket &Packet : Result)
+    ParkedBytes -= Packet.Payload.size();
+  return Result;
+}
+
+} // namespace dragonflystall
