--- a/src/shell/controlbus.h
+++ b/src/shell/controlbus.h
@@ -42,6 +42,10 @@
   void tick(TimePoint Now);
   uint64_t bytesSent() const;
   uint64_t bytesReceived() const;
+  /// Messages that found a full queue or an impossible address.
+  uint64_t dropped() const;
+  /// Messages that could not be parsed.
+  uint64_t malformed() const;
 
 private:
   ControlBus();
--- /dev/null
+++ b/src/shell/udpsocket.cpp
@@ -0,0 +1,156 @@
+// Batched UDP: datagrams are received and sent dozens at a time, so that the
+// cost of a system call is shared.
+#include "udpsocket.h"
+
+#include "descriptor.h"
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <system_error>
+
+namespace dragonflystall {
+
+namespace {
+
+constexpr size_t BatchSize = 64;
+/// Keeps one busy socket from starving the others and the timers.
+constexpr int BatchesPerReceive = 4;
+/// Room for bursts while the process is busy; the kernel may grant less.
+constexpr int SocketBufferBytes = 4 << 20;
+
+sockaddr_in toSockaddr(Endpoint Address) {
+  sockaddr_in Result{};
+  Result.sin_family = AF_INET;
+  Result.sin_addr.s_addr = htonl(Address.Ip);
+  Result.sin_port = htons(Address.Port);
+  return Result;
+}
+
+Endpoint toEndpoint(const sockaddr_in &Address) {
+  return {ntohl(Address.sin_addr.s_addr), ntohs(Address.sin_port)};
+}
+
+/// Fixed buffers for one system call. Invariant: Headers[I] points at
+/// Vectors[I], Buffers[I] and Addresses[I].
+struct Batch {
+  std::array<std::array<char, MaxDatagramBytes>, BatchSize> Buffers;
+  std::array<iovec, BatchSize> Vectors{};
+  std::array<sockaddr_in, BatchSize> Addresses{};
+  std::array<mmsghdr, BatchSize> Headers{};
+
+  Batch() {
+    for (size_t I = 0; I < BatchSize; ++I) {
+      Vectors[I] = {Buffers[I].data(), MaxDatagramBytes};
+      Headers[I].msg_hdr.msg_iov = &Vectors[I];
+      Headers[I].msg_hdr.msg_iovlen = 1;
+      Headers[I].msg_hdr.msg_name = &Addresses[I];
+      Headers[I].msg_hdr.msg_namelen = sizeof(sockaddr_in);
+    }
+  }
+};
+
+tl::unexpected<std::string> systemError(const char *What) {
+  return tl::unexpected(std::string(What) + ": " +
+                        std::generic_category().message(errno));
+}
+
+} // namespace
+
+struct UdpSocket::State {
+  Descriptor Socket;
+  Batch In;
+  Batch Out;
+  /// Datagrams in Out that wait for flush().
+  size_t Waiting = 0;
+  uint64_t Dropped = 0;
+
+  int receiveBatch(const Receiver &Each);
+};
+
+UdpSocket::UdpSocket() : State_(std::make_unique<State>()) {}
+UdpSocket::~UdpSocket() = default;
+
+tl::expected<std::unique_ptr<UdpSocket>, std::string>
+UdpSocket::bind(Endpoint Local) {
+  std::unique_ptr<UdpSocket> Result(new UdpSocket);
+  Descriptor Socket(
+      ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (!Socket)
+    return systemError("socket");
+  for (int Option : {SO_RCVBUF, SO_SNDBUF})
+    ::setsockopt(Socket.get(), SOL_SOCKET, Option, &SocketBufferBytes,
+                 sizeof(SocketBufferBytes));
+  const sockaddr_in Address = toSockaddr(Local);
+  if (::bind(Socket.get(), reinterpret_cast<const sockaddr *>(&Address),
+             sizeof(Address)) != 0)
+    return systemError("bind");
+  Result->State_->Socket = std::move(Socket);
+  return Result;
+}
+
+int UdpSocket::descriptor() const { return State_->Socket.get(); }
+
+int UdpSocket::State::receiveBatch(const Receiver &Each) {
+  for (mmsghdr &Header : In.Headers)
+    Header.msg_hdr.msg_namelen = sizeof(sockaddr_in);
+  const int Count = ::recvmmsg(Socket.get(), In.Headers.data(), BatchSize,
+                               MSG_DONTWAIT, nullptr);
+  for (int I = 0; I < Count; ++I) {
+    if (In.Headers[I].msg_hdr.msg_flags & MSG_TRUNC) {
+      ++Dropped;
+      continue;
+    }
+    Each(toEndpoint(In.Addresses[I]),
+         {In.Buffers[I].data(), In.Headers[I].msg_len});
+  }
+  return Count;
+}
+
+void UdpSocket::receive(const Receiver &Each) {
+  for (int I = 0; I < BatchesPerReceive; ++I)
+    if (State_->receiveBatch(Each) < static_cast<int>(BatchSize))
+      return;
+}
+
+void UdpSocket::send(Endpoint To, std::string_view Head,
+                     std::string_view Tail) {
+  State &S = *State_;
+  if (Head.size() + Tail.size() > MaxDatagramBytes) {
+    ++S.Dropped;
+    return;
+  }
+  char *Buffer = S.Out.Buffers[S.Waiting].data();
+  std::memcpy(Buffer, Head.data(), Head.size());
+  if (!Tail.empty())
+    std::memcpy(Buffer + Head.size(), Tail.data(), Tail.size());
+  S.Out.Vectors[S.Waiting].iov_len = Head.size() + Tail.size();
+  S.Out.Addresses[S.Waiting] = toSockaddr(To);
+  if (++S.Waiting == BatchSize)
+    flush();
+}
+
+void UdpSocket::flush() {
+  State &S = *State_;
+  size_t Sent = 0;
+  while (Sent < S.Waiting) {
+    const int Count = ::sendmmsg(S.Socket.get(), &S.Out.Headers[Sent],
+                                 S.Waiting - Sent, MSG_DONTWAIT);
+    if (Count > 0) {
+      Sent += Count;
+      continue;
+    }
+    if (Count < 0 && errno == EINTR)
+      continue;
+    // The kernel refuses the first of the rest; the others may still pass.
+    ++S.Dropped;
+    ++Sent;
+  }
+  S.Waiting = 0;
+}
+
+uint64_t UdpSocket::dropped() const { return State_->Dropped; }
+
+} // namespace dragonflystall
