Steer packets by a flow cache and rendezvous homes

The cache is a table of a fixed size with two candidate buckets of one cache line each for a flow: it never grows, and a flow that had to make room costs a hop.

--- a/include/dragonflystall/balancercore.h
+++ b/include/dragonflystall/balancercore.h
@@ -43,7 +43,7 @@
                                    SettingsUpdate, Tick>;
 
 /// Send header and payload over UDP to an agent. Payload is borrowed from the
-/// event that caused it.
+/// event that caused it, or from the core until its next event.
 struct SendPacket {
   Endpoint To;
   PacketHeader Header;
--- /dev/null
+++ b/src/steering/flowcache.cpp
@@ -0,0 +1,99 @@
+// Look-up, insertion and ageing of the flow cache.
+#include "flowcache.h"
+
+#include <algorithm>
+
+namespace dragonflystall {
+
+namespace {
+
+constexpr size_t LoadDivisor = 2;
+
+/// 0 marks a free entry.
+uint64_t usable(uint64_t Hash) { return Hash ? Hash : 1; }
+
+} // namespace
+
+FlowCache::FlowCache(size_t Flows)
+    : Buckets_(std::max<size_t>(1, Flows * LoadDivisor / EntriesPerBucket)) {}
+
+FlowCache::Entry *FlowCache::locate(uint64_t Hash) {
+  for (size_t Index : {firstBucket(Hash), secondBucket(Hash)})
+    for (Entry &E : Buckets_[Index].Entries)
+      if (E.Hash == Hash)
+        return &E;
+  return nullptr;
+}
+
+AgentId FlowCache::find(uint64_t Hash, Seconds Now) {
+  Entry *Found = locate(usable(Hash));
+  if (!Found)
+    return AgentId::None;
+  if (idle(*Found, Now)) {
+    free(*Found);
+    return AgentId::None;
+  }
+  // Most uses fall into the same second: don't dirty the line again.
+  if (Found->LastUsed != Now)
+    Found->LastUsed = Now;
+  return Found->Holder;
+}
+
+FlowCache::Entry &FlowCache::roomFor(uint64_t Hash) {
+  Entry *Free = nullptr;
+  Entry *Oldest = nullptr;
+  size_t MostFree = 0;
+  for (size_t Index : {firstBucket(Hash), secondBucket(Hash)}) {
+    size_t FreeHere = 0;
+    Entry *LastFree = nullptr;
+    for (Entry &E : Buckets_[Index].Entries) {
+      if (E.Hash == 0) {
+        ++FreeHere;
+        LastFree = &E;
+      } else if (!Oldest || E.LastUsed < Oldest->LastUsed) {
+        Oldest = &E;
+      }
+    }
+    if (FreeHere > MostFree) {
+      MostFree = FreeHere;
+      Free = LastFree;
+    }
+  }
+  if (Free)
+    return *Free;
+  ++Evictions_;
+  free(*Oldest);
+  return *Oldest;
+}
+
+void FlowCache::store(uint64_t Hash, AgentId Holder, Seconds Now) {
+  Hash = usable(Hash);
+  Entry *Place = locate(Hash);
+  if (!Place) {
+    Place = &roomFor(Hash);
+    ++Size_;
+  }
+  *Place = {Hash, Holder, Now};
+}
+
+void FlowCache::erase(uint64_t Hash) {
+  if (Entry *Found = locate(usable(Hash)))
+    free(*Found);
+}
+
+void FlowCache::free(Entry &E) {
+  E = Entry();
+  --Size_;
+}
+
+void FlowCache::sweep(Seconds Now) {
+  const size_t Stretch = Buckets_.size() / SweepsPerPass + 1;
+  for (size_t I = 0; I < Stretch; ++I) {
+    for (Entry &E : Buckets_[NextSweep_].Entries)
+      if (E.Hash != 0 && idle(E, Now))
+        free(E);
+    NextSweep_ = (NextSweep_ + 1) % Buckets_.size();
+  }
+}
+
+} // namespace dragonflystall
