--- a/src/shell/loop.cpp
+++ b/src/shell/loop.cpp
@@ -113,6 +113,11 @@
     throw std::system_error(errno, std::generic_category(), "epoll_ctl");
 }
 
+void Loop::unwatch(int Watched) {
+  epoll_ctl(State_->Poll.get(), EPOLL_CTL_DEL, Watched, nullptr);
+  State_->Readable.erase(Watched);
+}
+
 void Loop::every(Duration Period, Task OnTime) {
   Descriptor Timer =
       checked(timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC),
--- a/src/shell/loop.h
+++ b/src/shell/loop.h
@@ -21,6 +21,8 @@
 
   /// Calls OnReadable whenever the descriptor is readable. Loop thread only.
   void watch(int Descriptor, Task OnReadable);
+  /// Forgets the descriptor; call before it is closed. Not from its own task.
+  void unwatch(int Descriptor);
   /// Calls the task every Period. Loop thread only, before run().
   void every(Duration Period, Task OnTime);
   /// Calls the task after each round, when all that was ready was handled:
--- a/src/shell/udpsocket.cpp
+++ b/src/shell/udpsocket.cpp
@@ -67,7 +67,8 @@
   size_t Waiting = 0;
   uint64_t Dropped = 0;
 
-  int receiveBatch(const Receiver &Each);
+  /// Returns whether the batch was full, so that more may wait.
+  bool receiveBatch(const BatchReceiver &Each);
 };
 
 UdpSocket::UdpSocket() : State_(std::make_unique<State>()) {}
@@ -93,28 +94,39 @@
 
 int UdpSocket::descriptor() const { return State_->Socket.get(); }
 
-int UdpSocket::State::receiveBatch(const Receiver &Each) {
+bool UdpSocket::State::receiveBatch(const BatchReceiver &Each) {
   for (mmsghdr &Header : In.Headers)
     Header.msg_hdr.msg_namelen = sizeof(sockaddr_in);
   const int Count = ::recvmmsg(Socket.get(), In.Headers.data(), BatchSize,
                                MSG_DONTWAIT, nullptr);
+  std::array<Datagram, BatchSize> Whole;
+  size_t Wholes = 0;
   for (int I = 0; I < Count; ++I) {
     if (In.Headers[I].msg_hdr.msg_flags & MSG_TRUNC) {
       ++Dropped;
       continue;
     }
-    Each(toEndpoint(In.Addresses[I]),
-         {In.Buffers[I].data(), In.Headers[I].msg_len});
+    Whole[Wholes++] = {toEndpoint(In.Addresses[I]),
+                       {In.Buffers[I].data(), In.Headers[I].msg_len}};
   }
-  return Count;
+  if (Wholes > 0)
+    Each({Whole.data(), Wholes});
+  return Count == static_cast<int>(BatchSize);
 }
 
-void UdpSocket::receive(const Receiver &Each) {
+void UdpSocket::receiveBatches(const BatchReceiver &Each) {
   for (int I = 0; I < BatchesPerReceive; ++I)
-    if (State_->receiveBatch(Each) < static_cast<int>(BatchSize))
+    if (!State_->receiveBatch(Each))
       return;
 }
 
+void UdpSocket::receive(const Receiver &Each) {
+  receiveBatches([&](std::span<const Datagram> Batch) {
+    for (const Datagram &D : Batch)
+      Each(D.From, D.Bytes);
+  });
+}
+
 void UdpSocket::send(Endpoint To, std::string_view Head,
                      std::string_view Tail) {
   State &S = *State_;
--- a/src/shell/udpsocket.h
+++ b/src/shell/udpsocket.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -16,8 +17,14 @@
 /// header fit well.
 constexpr size_t MaxDatagramBytes = 2048;
 
+struct Datagram {
+  Endpoint From;
+  std::string_view Bytes;
+};
+
 class UdpSocket {
 public:
+  using BatchReceiver = std::function<void(std::span<const Datagram>)>;
   using Receiver = std::function<void(Endpoint From, std::string_view Bytes)>;
 
   /// Binds; the error is the system's text.
@@ -31,6 +38,8 @@
   /// Reads until the socket is empty or a few batches were read. Bytes are
   /// valid during the call to Each only.
   void receive(const Receiver &Each);
+  /// The same, with all datagrams of a system call at once.
+  void receiveBatches(const BatchReceiver &Each);
   /// Copies into the batch; sends when it is full. Head and Tail form one
   /// datagram. Datagrams that the kernel refuses are dropped and counted.
   void send(Endpoint To, std::string_view Head, std::string_view Tail = {});
--- a/src/steering/balancercore.cpp
+++ b/src/steering/balancercore.cpp
@@ -4,18 +4,9 @@
 #include "balancerstate.h"
 
 #include <algorithm>
-#include <cstdlib>
-#include <fmt/format.h>
 
 namespace dragonflystall {
 
-void require(bool Holds, const char *Invariant) {
-  if (Holds)
-    return;
-  fmt::print(stderr, "{{\"fatal\":\"invariant broken: {}\"}}\n", Invariant);
-  std::abort();
-}
-
 BalancerCore::BalancerCore(BalancerIdentity Self)
     : State_(std::make_unique<State>(std::move(Self))) {}
 BalancerCore::~BalancerCore() = default;
@@ -62,6 +53,27 @@
   return Via && Via->RosterVersion != 0 ? &Via->Known : nullptr;
 }
 
+std::map<std::string, uint64_t> BalancerCore::rosterVersions() const {
+  std::map<std::string, uint64_t> Result;
+  for (const Route &Via : State_->Routes)
+    if (Via.RosterVersion != 0)
+      Result[Via.Known.Team + "/" + Via.Known.Name] = Via.RosterVersion;
+  return Result;
+}
+
+std::optional<Endpoint> BalancerCore::drawPeer(uint64_t Draw) const {
+  const std::vector<Route> &Routes = State_->Routes;
+  if (Routes.empty())
+    return std::nullopt;
+  const Route &Via = Routes[Draw % Routes.size()];
+  if (Via.Agents.empty())
+    return std::nullopt;
+  const size_t Index = Draw / Routes.size() % Via.Agents.size();
+  if (!Via.Agents[Index].Reachable)
+    return std::nullopt;
+  return Via.Known.Agents[Index].Control;
+}
+
 size_t BalancerCore::cachedFlows() const { return State_->Cache.size(); }
 size_t BalancerCore::cacheBytes() const { return State_->Cache.bytes(); }
 uint64_t BalancerCore::cacheEvictions() const {
--- a/src/steering/balancercore.h
+++ b/src/steering/balancercore.h
@@ -6,7 +6,9 @@
 #include "dragonflystall/balancercore.h"
 #include "steering/counters.h"
 
+#include <map>
 #include <memory>
+#include <string>
 
 namespace dragonflystall {
 
@@ -58,6 +60,11 @@
   uint64_t settingsVersion() const;
   /// The roster in force; nullptr when none is known.
   const Roster *roster(ServiceId Service) const;
+  /// Versions in force, by "team/name" of the service.
+  std::map<std::string, uint64_t> rosterVersions() const;
+  /// The control address of an agent that is reachable, drawn by Draw among
+  /// those that are known; nothing when the draw meets none.
+  std::optional<Endpoint> drawPeer(uint64_t Draw) const;
   size_t cachedFlows() const;
   size_t cacheBytes() const;
   uint64_t cacheEvictions() const;
--- a/src/steering/balancerstate.h
+++ b/src/steering/balancerstate.h
@@ -87,10 +87,6 @@
           .count());
 }
 
-/// Ends the process when a promise is about to be broken: a packet that leaves
-/// its service or enters a zone that is out does more harm than a restart.
-void require(bool Holds, const char *Invariant);
-
 } // namespace dragonflystall
 
 #endif
--- a/src/steering/silence.cpp
+++ b/src/steering/silence.cpp
@@ -2,6 +2,7 @@
 // is probed, and suspected when the probes stay unanswered too. A suspicion is
 // this balancer's own opinion; it removes nobody from a roster.
 #include "balancerstate.h"
+#include "types/check.h"
 
 namespace dragonflystall {
 
@@ -84,8 +85,8 @@
 
 void BalancerCore::State::probe(Route &Via, AgentSlot &Slot, TimePoint Now,
                                 BalancerActions &Out) {
-  require(Slot.Reachable && accepts(Slot.Data.Ip),
-          "no packet into a zone that is out");
+  check(Slot.Reachable && accepts(Slot.Data.Ip),
+        "no packet into a zone that is out");
   Slot.LastProbe = Now;
   Counters.add(SteerCounter::Probe);
   PacketHeader Header;
--- a/src/steering/steer.cpp
+++ b/src/steering/steer.cpp
@@ -1,5 +1,6 @@
 // A caller's packet: the flow's holder from the cache, else the flow's home.
 #include "balancerstate.h"
+#include "types/check.h"
 
 namespace dragonflystall {
 
@@ -72,7 +73,7 @@
 
 void BalancerCore::State::forward(const CallerPacket &Packet,
                                   const Steering &Where, BalancerActions &Out) {
-  require(accepts(Where.To.Ip), "no packet into a zone that is out");
+  check(accepts(Where.To.Ip), "no packet into a zone that is out");
   PacketHeader Header;
   Header.Kind = PacketKind::Request;
   Header.Service = Where.Service;
