Check host settings against a table of keys

A process reads who it is, where it listens and whom to ask from one JSON file. A table of keys with types, units, defaults and ranges drives the check; all errors come at once, each with its JSON path.

No functional change.

--- a/src/settings/hostsettings.h
+++ b/src/settings/hostsettings.h
@@ -3,6 +3,7 @@
 #define DRAGONFLYSTALL_SRC_SETTINGS_HOSTSETTINGS_H
 
 #include "dragonflystall/types.h"
+#include "settings/settingerror.h"
 
 #include <string>
 #include <tl/expected.hpp>
@@ -10,6 +11,8 @@
 
 namespace dragonflystall {
 
+struct Key;
+
 /// How the fabric hands packets to a balancer.
 enum class EntryMode : uint8_t {
   Direct, ///< The balancer binds the service addresses itself.
@@ -37,15 +40,13 @@
   uint32_t Connections = 2000;
 };
 
-struct SettingError {
-  std::string Path; ///< JSON pointer.
-  std::string Expected;
-};
-
 /// Reads and checks the JSON text; all errors at once.
-tl::expected<HostSettings, std::vector<SettingError>>
+tl::expected<HostSettings, SettingErrors>
 parseHostSettings(const std::string &Json);
 
+/// The keys of the file, for the reference page.
+std::vector<Key> hostKeys();
+
 } // namespace dragonflystall
 
 #endif
--- /dev/null
+++ b/src/settings/settingerror.h
@@ -0,0 +1,23 @@
+// What is wrong with a settings value, and where.
+#ifndef DRAGONFLYSTALL_SRC_SETTINGS_SETTINGERROR_H
+#define DRAGONFLYSTALL_SRC_SETTINGS_SETTINGERROR_H
+
+#include <string>
+#include <vector>
+
+namespace dragonflystall {
+
+struct SettingError {
+  std::string Path; ///< JSON pointer; empty for the whole value.
+  std::string Expected;
+  friend bool operator==(const SettingError &, const SettingError &) = default;
+};
+
+using SettingErrors = std::vector<SettingError>;
+
+/// One line for logs: "/limits/slots: expected a whole number; ...".
+std::string toString(const SettingErrors &Errors);
+
+} // namespace dragonflystall
+
+#endif
