--- a/src/platform/link.h
+++ b/src/platform/link.h
@@ -7,6 +7,7 @@
 #include "dragonflystall/agentcore.h"
 #include "dragonflystall/roster.h"
 #include "dragonflystall/settings.h"
+#include "platform/store.h"
 
 #include <functional>
 #include <memory>
@@ -15,15 +16,6 @@
 
 namespace dragonflystall {
 
-/// An object under settings/ as stored; Deleted is a tombstone.
-struct StoredObject {
-  std::string Key;
-  uint64_t Version = 0;
-  std::string Value;
-  bool Deleted = false;
-  friend bool operator==(const StoredObject &, const StoredObject &) = default;
-};
-
 class PlatformLink {
 public:
   struct Listener {
