--- /dev/null
+++ b/src/agent/agentdaemon.cpp
@@ -0,0 +1,306 @@
+// Feeds events into the agent's core and carries its actions out.
+#include "agentdaemon.h"
+
+#include "wire/coap.h"
+#include "wire/framing.h"
+
+#include <nlohmann/json.hpp>
+#include <random>
+
+namespace dragonflystall {
+
+namespace {
+
+constexpr Duration TickPeriod = 50ms;
+constexpr Duration GossipPeriod = 1s;
+constexpr Duration StatusPeriod = 200ms;
+constexpr size_t TimelineCapacity = 8192; // events
+// Packets that are on their way while the last flow moves are still passed on.
+constexpr Duration ExitLinger = 1s;
+
+uint64_t randomBits() {
+  std::random_device Source;
+  return (uint64_t{Source()} << 32) | Source();
+}
+
+AgentIdentity identityOf(const HostSettings &Host) {
+  AgentIdentity Identity;
+  Identity.Team = Host.Team;
+  Identity.Service = Host.Service;
+  Identity.Self.Agent = {agentId(Host.Name), Incarnation{randomBits()}};
+  Identity.Self.Name = Host.Name;
+  Identity.Self.Zone = Host.Zone;
+  Identity.Self.Data = Host.Data;
+  Identity.Self.Control = Host.Control;
+  Identity.Self.Slots = Host.Slots;
+  Identity.Self.Connections = Host.Connections;
+  return Identity;
+}
+
+} // namespace
+
+AgentDaemon::AgentDaemon(const HostSettings &Host)
+    : Host_(Host), Identity_(identityOf(Host)),
+      Timeline_(Host.Name, TimelineCapacity), Core_(Identity_, randomBits()),
+      Exchange_(View_, Identity_.Self.Agent, Host.Control, randomBits()),
+      Filter_(Host.Peers, Host.Zone) {}
+
+AgentDaemon::~AgentDaemon() = default;
+
+tl::expected<void, std::string> AgentDaemon::start() {
+  Loop_.onStopSignal([this] { handle(StopRequested{}); });
+  auto Data = UdpSocket::bind(Host_.Data);
+  if (!Data)
+    return tl::unexpected("data port: " + Data.error());
+  Data_ = std::move(*Data);
+  auto Bus = ControlBus::bind(Host_.Control);
+  if (!Bus)
+    return tl::unexpected("control port: " + Bus.error());
+  Bus_ = std::move(*Bus);
+  AdminHandlers Handlers;
+  Handlers.Ready = [this] {
+    const std::lock_guard Lock(PublishedMutex_);
+    return Ready_;
+  };
+  Handlers.StatusJson = [this] {
+    const std::lock_guard Lock(PublishedMutex_);
+    return PublishedStatus_;
+  };
+  Handlers.MetricsText = [this] {
+    const std::lock_guard Lock(PublishedMutex_);
+    return PublishedMetrics_;
+  };
+  Handlers.TimelineJson = [this](uint64_t Since) {
+    return Timeline_.snapshotJson(Since);
+  };
+  auto Admin = AdminServer::start(Host_.Admin, std::move(Handlers));
+  if (!Admin)
+    return tl::unexpected("admin port: " + Admin.error());
+  Admin_ = std::move(*Admin);
+  startUpstream();
+  startPlatform();
+  return {};
+}
+
+void AgentDaemon::startUpstream() {
+  UpstreamClient::Listener Listener;
+  Listener.OnAnswer = [this](UpstreamAnswer Answer) {
+    Loop_.post([this, Answer = std::move(Answer)] { handle(Answer); });
+  };
+  Listener.OnHint = [this](UpstreamHint Hint) {
+    Loop_.post([this, Hint] { handle(Hint); });
+  };
+  Upstream_ = std::make_unique<UpstreamClient>(Host_.Upstream, Host_.Slots,
+                                               std::move(Listener));
+}
+
+void AgentDaemon::startPlatform() {
+  PlatformLink::Listener Listener;
+  Listener.Post = [this](std::function<void()> Task) {
+    Loop_.post(std::move(Task));
+  };
+  Listener.OnSettings = [this](const std::vector<StoredObject> &Objects) {
+    onSettings(Objects);
+  };
+  Listener.OnRoster = [this](Roster Value) {
+    handle(RosterUpdate{std::move(Value)});
+  };
+  Listener.OnRosterWritten = [this](const RosterWritten &Result) {
+    handle(Result);
+  };
+  Listener.OnEvent = [this](const Event &What) { carryOut(What); };
+  Link_ = std::make_unique<PlatformLink>(Host_.Platform, Host_.Name,
+                                         std::move(Listener));
+  Link_->wantRoster(Host_.Team, Host_.Service, 0);
+}
+
+void AgentDaemon::run() {
+  Loop_.watch(Data_->descriptor(), [this] {
+    Data_->receive([this](Endpoint From, std::string_view Bytes) {
+      onDatagram(From, Bytes);
+    });
+  });
+  Loop_.watch(Bus_->descriptor(), [this] {
+    Bus_->receive(
+        [this](uint32_t FromIp,
+               const std::shared_ptr<const wire::ControlMessage> &Value) {
+          onControl(FromIp, Value);
+        });
+  });
+  Loop_.every(TickPeriod, [this] { handle(Tick{}); });
+  Loop_.every(GossipPeriod, [this] { gossip(); });
+  Loop_.every(StatusPeriod, [this] { publishStatus(); });
+  Loop_.afterRound([this] { Data_->flush(); });
+  Event Started;
+  Started.Kind = EventKind::Started;
+  Started.Value = static_cast<uint64_t>(Identity_.Self.Agent.Start);
+  carryOut(Started);
+  Loop_.run();
+}
+
+void AgentDaemon::handle(const AgentEvent &What) {
+  AgentActions Actions;
+  Core_.handle(What, Clock_.now(), Actions);
+  for (const AgentAction &Action : Actions)
+    std::visit([this](const auto &Value) { carryOut(Value); }, Action);
+}
+
+void AgentDaemon::carryOut(const SendDatagram &Action) {
+  if (!Filter_.allows(Action.To.Ip))
+    return;
+  wire::encodeHeader(Action.Header, Header_);
+  Data_->send(Action.To, Header_, Action.Payload);
+}
+
+void AgentDaemon::carryOut(const SendMessage &Action) {
+  if (!Filter_.allows(Action.To.Ip))
+    return;
+  wire::encodeHeader(Action.Header, Header_);
+  Data_->send(Action.To, Header_, wire::encodeCoap(Action.Value));
+}
+
+void AgentDaemon::carryOut(const SendPeer &Action) {
+  sendPeer(Action.To, *Action.Value);
+}
+
+void AgentDaemon::sendPeer(Endpoint To, const wire::ControlMessage &Value) {
+  if (!Filter_.allows(To.Ip))
+    return;
+  wire::ControlMessage Stamped = Value;
+  Stamped.set_hlc(Timeline_.clock().stamp(Clock_.wallTime()));
+  Stamped.set_settings_version(View_.version());
+  Bus_->send(To, Stamped);
+}
+
+void AgentDaemon::carryOut(const RunUpstream &Action) {
+  Upstream_->run(Action);
+}
+
+void AgentDaemon::carryOut(const CancelUpstream &Action) {
+  Upstream_->cancel(Action.Run);
+}
+
+void AgentDaemon::carryOut(const UpdateRoster &Action) {
+  Link_->updateRoster(Action);
+}
+
+void AgentDaemon::carryOut(const WantRoster &Action) {
+  Link_->wantRoster(Host_.Team, Host_.Service, Action.KnownVersion);
+}
+
+void AgentDaemon::carryOut(const StopComplete & /*Action*/) {
+  Loop_.every(ExitLinger, [this] { Loop_.stop(); });
+}
+
+void AgentDaemon::carryOut(const Event &Action) {
+  Timeline_.record(Clock_.wallTime(), Action);
+}
+
+void AgentDaemon::onDatagram(Endpoint From, std::string_view Bytes) {
+  if (!Filter_.allows(From.Ip)) {
+    ++Drops_.Stranger;
+    return;
+  }
+  auto Frame = wire::parseFrame(Bytes);
+  if (!Frame) {
+    ++Drops_.Malformed;
+    return;
+  }
+  if (Frame->Header.Kind == PacketKind::Probe) {
+    PacketHeader Reply = Frame->Header;
+    Reply.Kind = PacketKind::ProbeReply;
+    Reply.Holder = Identity_.Self.Agent.Id;
+    carryOut(SendDatagram{From, Reply, {}});
+    return;
+  }
+  auto Decoded = wire::decodeCoap(Frame->Payload);
+  if (!Decoded) {
+    ++Drops_.Malformed;
+    return;
+  }
+  handle(AgentPacket{From, Frame->Header, std::string(Frame->Payload),
+                     std::move(*Decoded)});
+}
+
+void AgentDaemon::onControl(
+    uint32_t FromIp, const std::shared_ptr<const wire::ControlMessage> &Value) {
+  if (!Filter_.allows(FromIp)) {
+    ++Drops_.Stranger;
+    return;
+  }
+  Timeline_.clock().observe(Value->hlc());
+  std::vector<Event> Events;
+  const auto Send = [this](Endpoint To, const wire::ControlMessage &Answer) {
+    sendPeer(To, Answer);
+  };
+  if (Exchange_.onPeer(*Value, Send, Events))
+    settingsChanged(Events);
+  handle(PeerMessage{Value});
+}
+
+void AgentDaemon::onSettings(const std::vector<StoredObject> &Objects) {
+  const SettingsPtr Before = View_.current();
+  const std::vector<Event> Events = View_.merge(Objects);
+  if (View_.current() != Before)
+    settingsChanged(Events);
+}
+
+void AgentDaemon::settingsChanged(const std::vector<Event> &Events) {
+  for (const Event &What : Events)
+    carryOut(What);
+  Filter_.update(View_.current());
+  handle(SettingsUpdate{View_.current()});
+}
+
+void AgentDaemon::gossip() {
+  std::vector<Endpoint> Peers = Host_.Peers;
+  for (const PeerView &Peer : Core_.flows().peers())
+    Peers.push_back(Peer.Control);
+  Exchange_.tick(Peers, [this](Endpoint To, const wire::ControlMessage &Value) {
+    sendPeer(To, Value);
+  });
+  Bus_->tick(Clock_.now());
+}
+
+void AgentDaemon::publishStatus() {
+  std::string Status = statusJson();
+  std::string Metrics = metricsText();
+  const std::lock_guard Lock(PublishedMutex_);
+  PublishedStatus_ = std::move(Status);
+  PublishedMetrics_ = std::move(Metrics);
+  Ready_ = Core_.flows().roster().find(Identity_.Self.Agent.Id) != nullptr &&
+           !Core_.leaving();
+}
+
+std::string AgentDaemon::statusJson() const {
+  const OwnLoad Load = Core_.requests().load();
+  nlohmann::json Status = {
+      {"name", Host_.Name},
+      {"role", "agent"},
+      {"zone", Host_.Zone},
+      {"team", Host_.Team},
+      {"service", Host_.Service},
+      {"incarnation", static_cast<uint64_t>(Identity_.Self.Agent.Start)},
+      {"settings_version", View_.current()->Version},
+      {"settings_seen", View_.version()},
+      {"roster_version", Core_.flows().roster().Version},
+      {"flows", Core_.flows().size()},
+      {"running", Load.Running},
+      {"queued", Load.Queued},
+      {"limit", Load.Limit},
+      {"in_progress", Core_.requests().inProgress()},
+      {"leaving", Core_.leaving()},
+      {"platform_down", Link_->down()},
+      {"platform_calls", Link_->calls()},
+      {"control_bytes_sent", Bus_->bytesSent()},
+      {"control_bytes_received", Bus_->bytesReceived()},
+      {"dropped_malformed", Drops_.Malformed},
+      {"dropped_stranger", Drops_.Stranger},
+      {"dropped_by_kernel", Data_->dropped()},
+      {"refused_settings", View_.refused()}};
+  return Status.dump();
+}
+
+std::string AgentDaemon::metricsText() const { return {}; }
+
+} // namespace dragonflystall
--- /dev/null
+++ b/src/settings/exchange.cpp
@@ -0,0 +1,61 @@
+// The exchange of digests, pulls and pushes.
+#include "exchange.h"
+
+namespace dragonflystall {
+
+SettingsExchange::SettingsExchange(SettingsView &View, AgentRef Sender,
+                                   Endpoint Self, uint64_t Seed)
+    : View_(View), Sender_(Sender), Self_(Self), Random_(Seed) {}
+
+wire::ControlMessage SettingsExchange::envelope() const {
+  wire::ControlMessage Message;
+  Message.mutable_sender()->set_id(static_cast<uint32_t>(Sender_.Id));
+  Message.mutable_sender()->set_incarnation(
+      static_cast<uint64_t>(Sender_.Start));
+  Message.mutable_reply_to()->set_ip(Self_.Ip);
+  Message.mutable_reply_to()->set_port(Self_.Port);
+  Message.set_settings_version(View_.version());
+  return Message;
+}
+
+void SettingsExchange::tick(const std::vector<Endpoint> &Peers,
+                            const Sender &Send) {
+  if (Peers.empty())
+    return;
+  std::uniform_int_distribution<size_t> Pick(0, Peers.size() - 1);
+  const Endpoint To = Peers[Pick(Random_)];
+  if (To == Self_)
+    return;
+  wire::ControlMessage Message = envelope();
+  *Message.mutable_settings_digest() = View_.digest();
+  Send(To, Message);
+}
+
+bool SettingsExchange::onPeer(const wire::ControlMessage &Value,
+                              const Sender &Send, std::vector<Event> &Events) {
+  const Endpoint To{Value.reply_to().ip(),
+                    static_cast<uint16_t>(Value.reply_to().port())};
+  wire::ControlMessage Reply = envelope();
+  if (Value.has_settings_digest()) {
+    if (auto Pull = View_.compare(Value.settings_digest())) {
+      *Reply.mutable_settings_pull() = *Pull;
+      Send(To, Reply);
+    }
+    return false;
+  }
+  if (Value.has_settings_pull()) {
+    if (auto Push = View_.answer(Value.settings_pull())) {
+      *Reply.mutable_settings_push() = *Push;
+      Send(To, Reply);
+    }
+    return false;
+  }
+  if (!Value.has_settings_push())
+    return false;
+  const SettingsPtr Before = View_.current();
+  std::vector<Event> Happened = View_.merge(Value.settings_push());
+  Events.insert(Events.end(), Happened.begin(), Happened.end());
+  return View_.current() != Before;
+}
+
+} // namespace dragonflystall
--- /dev/null
+++ b/src/settings/exchange.h
@@ -0,0 +1,42 @@
+// How settings and rosters pass from peer to peer when the platform can't tell
+// them: one digest at a time to a random peer, and pulls of what is newer.
+#ifndef DRAGONFLYSTALL_SRC_SETTINGS_EXCHANGE_H
+#define DRAGONFLYSTALL_SRC_SETTINGS_EXCHANGE_H
+
+#include "dragonflystall/clock.h"
+#include "settings/settingsview.h"
+
+#include <functional>
+#include <vector>
+
+#include <control.pb.h>
+
+namespace dragonflystall {
+
+class SettingsExchange {
+public:
+  using Sender =
+      std::function<void(Endpoint To, const wire::ControlMessage &Value)>;
+
+  /// Self is where peers answer to. View must outlive this.
+  SettingsExchange(SettingsView &View, AgentRef Sender, Endpoint Self,
+                   uint64_t Seed);
+
+  /// Sends a digest to one of the peers, drawn at random.
+  void tick(const std::vector<Endpoint> &Peers, const Sender &Send);
+  /// Takes the bodies that concern settings; true when the view changed.
+  bool onPeer(const wire::ControlMessage &Value, const Sender &Send,
+              std::vector<Event> &Events);
+
+private:
+  wire::ControlMessage envelope() const;
+
+  SettingsView &View_;
+  AgentRef Sender_;
+  Endpoint Self_;
+  Random Random_;
+};
+
+} // namespace dragonflystall
+
+#endif
