--- a/include/dragonflystall/agentcore.h
+++ b/include/dragonflystall/agentcore.h
@@ -101,6 +101,7 @@
 };
 struct RunUpstream {
   RunId Run = RunId::None;
+  Endpoint Caller;
   Code Method = Code::Get;
   std::string Path;
   std::string Query;
--- /dev/null
+++ b/src/requests/hintpoller.h
@@ -0,0 +1,37 @@
+// Asks the upstream's health and load endpoints once a second, on a thread of
+// its own and with bounded waits: they may hang while requests go through.
+#ifndef DRAGONFLYSTALL_SRC_REQUESTS_HINTPOLLER_H
+#define DRAGONFLYSTALL_SRC_REQUESTS_HINTPOLLER_H
+
+#include "dragonflystall/agentcore.h"
+
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <thread>
+
+namespace dragonflystall {
+
+class HintPoller {
+public:
+  /// OnHint is called on the poller's thread.
+  HintPoller(Endpoint Upstream, std::function<void(UpstreamHint)> OnHint);
+  ~HintPoller();
+  HintPoller(const HintPoller &) = delete;
+  HintPoller &operator=(const HintPoller &) = delete;
+
+private:
+  void poll();
+  UpstreamHint ask() const;
+
+  const Endpoint Upstream_;
+  const std::function<void(UpstreamHint)> OnHint_;
+  std::mutex Mutex_;
+  std::condition_variable Stop_;
+  bool Stopping_ = false;
+  std::thread Thread_;
+};
+
+} // namespace dragonflystall
+
+#endif
