Keep a time line and serve it over the administration API

Events go to a ring in memory, stamped with a hybrid logical clock, and as JSON lines to standard error when their kind's level is printed. The administration server answers /healthz, /readyz, /status, /metrics and /timeline on the address that the settings give, and takes the port for itself alone.

--- /dev/null
+++ b/src/observe/admin.cpp
@@ -0,0 +1,104 @@
+// The administration API's HTTP server.
+#include "observe/admin.h"
+
+#include <charconv>
+#include <fmt/format.h>
+#include <httplib.h>
+#include <thread>
+
+namespace dragonflystall {
+
+namespace {
+
+constexpr size_t Threads = 2;
+constexpr time_t KeepAliveSeconds = 1;
+constexpr time_t ReadTimeoutSeconds = 2;
+constexpr const char *Json = "application/json";
+constexpr const char *JsonLines = "application/jsonlines";
+constexpr const char *PrometheusText = "text/plain; version=0.0.4";
+
+std::string ipOf(Endpoint Address) {
+  const std::string Text = toString(Address);
+  return Text.substr(0, Text.rfind(':'));
+}
+
+/// Anything that is no number counts as 0: the whole ring.
+uint64_t sinceOf(const httplib::Request &Request) {
+  const std::string Text = Request.get_param_value("since");
+  uint64_t Since = 0;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Since);
+  return Since;
+}
+
+/// The library's default lets a second process take the same port unnoticed.
+void reuseAddressOnly(socket_t Socket) {
+  const int Yes = 1;
+  setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &Yes, sizeof(Yes));
+}
+
+void answerReady(bool Ready, httplib::Response &Response) {
+  constexpr int NotReady = 503;
+  if (!Ready)
+    Response.status = NotReady;
+  Response.set_content(Ready ? R"({"ready":true})" : R"({"ready":false})",
+                       Json);
+}
+
+} // namespace
+
+struct AdminServer::State {
+  AdminHandlers Handlers;
+  httplib::Server Server;
+  std::thread Listener;
+
+  void addRoutes();
+};
+
+void AdminServer::State::addRoutes() {
+  using httplib::Request;
+  using httplib::Response;
+  Server.Get("/healthz", [](const Request &, Response &Out) {
+    Out.set_content(R"({"healthy":true})", Json);
+  });
+  Server.Get("/readyz", [this](const Request &, Response &Out) {
+    answerReady(Handlers.Ready(), Out);
+  });
+  Server.Get("/status", [this](const Request &, Response &Out) {
+    Out.set_content(Handlers.StatusJson(), Json);
+  });
+  Server.Get("/metrics", [this](const Request &, Response &Out) {
+    Out.set_content(Handlers.MetricsText(), PrometheusText);
+  });
+  Server.Get("/timeline", [this](const Request &In, Response &Out) {
+    Out.set_content(Handlers.TimelineJson(sinceOf(In)), JsonLines);
+  });
+}
+
+AdminServer::AdminServer() : State_(std::make_unique<State>()) {}
+
+tl::expected<std::unique_ptr<AdminServer>, std::string>
+AdminServer::start(Endpoint Local, AdminHandlers Handlers) {
+  std::unique_ptr<AdminServer> Admin(new AdminServer);
+  State &S = *Admin->State_;
+  S.Handlers = std::move(Handlers);
+  S.Server.new_task_queue = [] { return new httplib::ThreadPool(Threads); };
+  S.Server.set_socket_options(reuseAddressOnly);
+  S.Server.set_keep_alive_timeout(KeepAliveSeconds);
+  S.Server.set_read_timeout(ReadTimeoutSeconds);
+  S.addRoutes();
+  if (!S.Server.bind_to_port(ipOf(Local), Local.Port))
+    return tl::unexpected(fmt::format("cannot bind {}", toString(Local)));
+  S.Listener = std::thread([&S] { S.Server.listen_after_bind(); });
+  // A stop before the listener runs would be lost.
+  while (!S.Server.is_running())
+    std::this_thread::yield();
+  return Admin;
+}
+
+AdminServer::~AdminServer() {
+  State_->Server.stop();
+  if (State_->Listener.joinable())
+    State_->Listener.join();
+}
+
+} // namespace dragonflystall
--- /dev/null
+++ b/src/observe/jsontext.h
@@ -0,0 +1,15 @@
+// JSON text written by hand where a document model would cost too much.
+#ifndef DRAGONFLYSTALL_SRC_OBSERVE_JSONTEXT_H
+#define DRAGONFLYSTALL_SRC_OBSERVE_JSONTEXT_H
+
+#include <string>
+#include <string_view>
+
+namespace dragonflystall {
+
+/// The text quoted and escaped. Bytes that are no ASCII pass unchanged.
+std::string jsonString(std::string_view Text);
+
+} // namespace dragonflystall
+
+#endif
--- a/src/observe/timeline.h
+++ b/src/observe/timeline.h
@@ -31,6 +31,9 @@
   Event What;
 };
 
+/// One JSON line, as /timeline and standard error show it.
+std::string eventJson(std::string_view Process, const StampedEvent &E);
+
 /// Not thread-safe but for snapshotJson(): the loop thread records.
 class Timeline {
 public:
