Add the caller library and the call command

A call keeps its request and its one-time ticket together over all retries: once a message with a ticket was sent, only that ticket is sent again until an answer says for certain that nothing ran. Each attempt and each block has a token of its own, so a late or crossed answer matches nothing.

--- /dev/null
+++ b/cli/callcommand.cpp
@@ -0,0 +1,184 @@
+// `dragonflystall call`: one request through the caller library.
+#include "command.h"
+
+#include "caller/callersocket.h"
+#include "dragonflystall/caller.h"
+
+#include <boost/program_options.hpp>
+#include <fmt/format.h>
+#include <fmt/ostream.h>
+#include <nlohmann/json.hpp>
+#include <poll.h>
+#include <random>
+
+namespace dragonflystall::cli {
+
+namespace {
+
+namespace po = boost::program_options;
+
+struct CallOptions {
+  Endpoint Service;
+  Endpoint Local;
+  Call What;
+  bool Json = false;
+};
+
+std::optional<Code> parseMethod(std::string_view Text) {
+  constexpr std::array<std::pair<std::string_view, Code>, 4> Methods = {{
+      {"GET", Code::Get},
+      {"POST", Code::Post},
+      {"PUT", Code::Put},
+      {"DELETE", Code::Delete},
+  }};
+  for (const auto &[Name, Method] : Methods)
+    if (Name == Text)
+      return Method;
+  return std::nullopt;
+}
+
+po::options_description knownOptions() {
+  po::options_description Known(
+      "usage: dragonflystall call --service IP:PORT METHOD /path[?query]");
+  Known.add_options()("help", "this text")("service",
+                                           po::value<std::string>()->required(),
+                                           "the service's address, IP:PORT")(
+      "local", po::value<std::string>(), "send from this IP:PORT")(
+      "body", po::value<std::string>()->default_value(""),
+      "the request's body")(
+      "timeout-ms", po::value<uint32_t>()->default_value(5000),
+      "give up after this time")("json", "print all as JSON")(
+      "method", po::value<std::string>()->required(),
+      "GET, POST, PUT or DELETE")(
+      "target", po::value<std::string>()->required(), "path and query");
+  return Known;
+}
+
+tl::expected<CallOptions, std::string>
+toOptions(const po::variables_map &Given) {
+  CallOptions Options;
+  const auto Service = parseEndpoint(Given["service"].as<std::string>());
+  const auto Method = parseMethod(Given["method"].as<std::string>());
+  if (!Service)
+    return tl::unexpected(std::string("--service: expected IP:PORT"));
+  if (!Method)
+    return tl::unexpected(
+        std::string("method: expected GET, POST, PUT or DELETE"));
+  Options.Service = *Service;
+  if (Given.count("local") != 0) {
+    const auto Local = parseEndpoint(Given["local"].as<std::string>());
+    if (!Local)
+      return tl::unexpected(std::string("--local: expected IP:PORT"));
+    Options.Local = *Local;
+  }
+  const std::string Target = Given["target"].as<std::string>();
+  const size_t Question = Target.find('?');
+  Options.What.Method = *Method;
+  Options.What.Path = Target.substr(0, Question);
+  if (Question != std::string::npos)
+    Options.What.Query = Target.substr(Question + 1);
+  Options.What.Body = Given["body"].as<std::string>();
+  Options.What.Timeout =
+      std::chrono::milliseconds(Given["timeout-ms"].as<uint32_t>());
+  Options.Json = Given.count("json") != 0;
+  return Options;
+}
+
+/// Runs the call to its result, which comes at the timeout at the latest.
+CallResult runCall(const CallerSocket &Socket, const Call &What) {
+  const SystemClock Clock;
+  Caller Flow((uint64_t{std::random_device()()} << 32) |
+              std::random_device()());
+  CallerOutput Out;
+  Flow.start(What, Clock.now(), Out);
+  for (;;) {
+    for (const Message &Each : Out.Send)
+      Socket.send(Each);
+    if (!Out.Done.empty())
+      return Out.Done.front();
+    Out = {};
+    const Duration Wait = Flow.nextTick() - Clock.now();
+    pollfd Ready = {Socket.descriptor(), POLLIN, 0};
+    const auto Milliseconds =
+        std::chrono::ceil<std::chrono::milliseconds>(Wait).count();
+    ::poll(&Ready, 1, static_cast<int>(std::max<int64_t>(Milliseconds, 0)));
+    for (const Message &Each : Socket.receive())
+      Flow.onMessage(Each, Clock.now(), Out);
+    Flow.tick(Clock.now(), Out);
+  }
+}
+
+std::string codeText(Code Kind) {
+  return fmt::format("{}.{:02}", static_cast<int>(Kind) / 32,
+                     static_cast<int>(Kind) % 32);
+}
+
+double milliseconds(Duration Time) {
+  return std::chrono::duration<double, std::milli>(Time).count();
+}
+
+void printResult(const CallResult &Result, bool Json) {
+  if (Json) {
+    nlohmann::json Report = {{"verdict", name(Result.Outcome)},
+                             {"code", codeText(Result.Kind)},
+                             {"body", Result.Body},
+                             {"took_ms", milliseconds(Result.Took)},
+                             {"attempts", Result.Attempts}};
+    if (Result.RetryAfter)
+      Report["retry_after_ms"] = milliseconds(*Result.RetryAfter);
+    const auto Replace = nlohmann::json::error_handler_t::replace;
+    fmt::print("{}\n", Report.dump(-1, ' ', false, Replace));
+    return;
+  }
+  fmt::print("{}", Result.Body);
+  fmt::print(stderr, "{} {} in {:.1f} ms, {} attempt(s)\n",
+             name(Result.Outcome), codeText(Result.Kind),
+             milliseconds(Result.Took), Result.Attempts);
+}
+
+int exitCodeOf(const CallResult &Result) {
+  if (Result.Outcome == Verdict::NotRun)
+    return Refused;
+  if (Result.Outcome == Verdict::MayHaveRun)
+    return Unreachable;
+  return Result.Kind < Code::BadRequest ? Success : Failed;
+}
+
+} // namespace
+
+int runCallCommand(const Arguments &Args) {
+  const po::options_description Known = knownOptions();
+  po::positional_options_description Positions;
+  Positions.add("method", 1).add("target", 1);
+  po::variables_map Given;
+  try {
+    po::store(po::command_line_parser(Args)
+                  .options(Known)
+                  .positional(Positions)
+                  .run(),
+              Given);
+    if (Given.count("help") != 0) {
+      fmt::print("{}", fmt::streamed(Known));
+      return Success;
+    }
+    po::notify(Given);
+  } catch (const po::error &E) {
+    fmt::print(stderr, "{}\n", E.what());
+    return BadUsage;
+  }
+  const auto Options = toOptions(Given);
+  if (!Options) {
+    fmt::print(stderr, "{}\n", Options.error());
+    return BadUsage;
+  }
+  auto Socket = CallerSocket::connect(Options->Local, Options->Service);
+  if (!Socket) {
+    fmt::print(stderr, "cannot open a socket: {}\n", Socket.error());
+    return Unreachable;
+  }
+  const CallResult Result = runCall(*Socket, Options->What);
+  printResult(Result, Options->Json);
+  return exitCodeOf(Result);
+}
+
+} // namespace dragonflystall::cli
--- a/cli/command.h
+++ b/cli/command.h
@@ -28,6 +28,8 @@
 
 // cli/benchcommand.cpp
 int runBench(const Arguments &Args);
+// cli/callcommand.cpp
+int runCallCommand(const Arguments &Args);
 
 } // namespace dragonflystall::cli
 
--- a/cli/main.cpp
+++ b/cli/main.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::array Commands = {
     Command{"bench", "run the deterministic workloads", runBench},
+    Command{"call", "send one request and print its verdict", runCallCommand},
 };
 
 void printCommands() {
--- /dev/null
+++ b/src/caller/caller.cpp
@@ -0,0 +1,84 @@
+// The calls of one flow: hands each message to the call that it answers.
+#include "dragonflystall/caller.h"
+
+#include "caller/exchange.h"
+
+#include <algorithm>
+#include <map>
+
+namespace dragonflystall {
+
+struct Caller::State {
+  explicit State(uint64_t Seed) : Flow(Seed) {}
+
+  Session Flow;
+  uint64_t LastId = 0;
+  std::map<CallId, Exchange> Calls;
+
+  void removeDone();
+};
+
+void Caller::State::removeDone() {
+  std::erase_if(Calls, [](const auto &Entry) { return Entry.second.done(); });
+}
+
+Caller::Caller(uint64_t Seed) : State_(std::make_unique<State>(Seed)) {}
+
+Caller::~Caller() = default;
+
+CallId Caller::start(const Call &What, TimePoint Now, CallerOutput &Out) {
+  const CallId Id{++State_->LastId};
+  auto It = State_->Calls.try_emplace(Id, Id, What, Now).first;
+  It->second.start(State_->Flow, Now, Out);
+  return Id;
+}
+
+void Caller::cancel(CallId Id, TimePoint Now, CallerOutput &Out) {
+  auto It = State_->Calls.find(Id);
+  if (It == State_->Calls.end())
+    return;
+  It->second.cancel(State_->Flow, Now, Out);
+  State_->removeDone();
+}
+
+void Caller::onMessage(const Message &Answer, TimePoint Now,
+                       CallerOutput &Out) {
+  if (isRequest(Answer.Kind))
+    return;
+  if (Answer.Kind == Code::Empty) {
+    for (auto &[Id, Each] : State_->Calls)
+      Each.onEmpty(Answer, Now, Out);
+    State_->removeDone();
+    return;
+  }
+  // A stale answer is acknowledged too, or its sender would go on repeating it.
+  if (Answer.Type == MessageType::Confirmable) {
+    Message Acknowledgement;
+    Acknowledgement.Type = MessageType::Acknowledgement;
+    Acknowledgement.MessageId = Answer.MessageId;
+    Out.Send.push_back(std::move(Acknowledgement));
+  }
+  auto &Calls = State_->Calls;
+  auto It = std::find_if(Calls.begin(), Calls.end(), [&](const auto &Entry) {
+    return Entry.second.matches(Answer);
+  });
+  if (It == Calls.end())
+    return;
+  It->second.onAnswer(Answer, State_->Flow, Now, Out);
+  State_->removeDone();
+}
+
+void Caller::tick(TimePoint Now, CallerOutput &Out) {
+  for (auto &[Id, Each] : State_->Calls)
+    Each.tick(State_->Flow, Now, Out);
+  State_->removeDone();
+}
+
+TimePoint Caller::nextTick() const {
+  TimePoint Next = TimePoint::max();
+  for (const auto &[Id, Each] : State_->Calls)
+    Next = std::min(Next, Each.nextTick());
+  return Next;
+}
+
+} // namespace dragonflystall
--- /dev/null
+++ b/src/caller/session.cpp
@@ -0,0 +1,46 @@
+// Tokens, message ids and the pool of tickets.
+#include "caller/session.h"
+
+namespace dragonflystall {
+
+namespace {
+
+constexpr size_t TokenBytes = 8;
+constexpr size_t MaxTickets = 4;
+/// Far below the lifetime that services give their tickets.
+constexpr Duration TicketUsable = 10s;
+
+} // namespace
+
+void TicketPool::put(std::string Ticket, TimePoint Now) {
+  Tickets_.push_back({std::move(Ticket), Now});
+  if (Tickets_.size() > MaxTickets)
+    Tickets_.pop_front();
+}
+
+std::optional<std::string> TicketPool::take(TimePoint Now) {
+  if (Tickets_.empty())
+    return std::nullopt;
+  Entry Freshest = std::move(Tickets_.back());
+  Tickets_.pop_back();
+  if (Now - Freshest.Received > TicketUsable) {
+    clear();
+    return std::nullopt;
+  }
+  return std::move(Freshest.Ticket);
+}
+
+Session::Session(uint64_t Seed)
+    : Bits(Seed), NextMessageId(static_cast<uint16_t>(Bits())) {}
+
+/// Random, so that an answer to an earlier process at the same address and
+/// port is never taken for one of ours.
+Token Session::newToken() {
+  const uint64_t Value = Bits();
+  Token Result;
+  for (size_t I = 0; I < TokenBytes; ++I)
+    Result += static_cast<char>(Value >> (8 * I));
+  return Result;
+}
+
+} // namespace dragonflystall
