Add metrics and measure what watching costs

`dragonflystall bench`, three runs on a busy machine: see observe-event, observe-counter, observe-histogram.

--- a/bench/bench.cpp
+++ b/bench/bench.cpp
@@ -9,6 +9,9 @@
 
 constexpr std::array Workloads = {
     Workload{"home", findHome},
+    Workload{"observe-event", recordEvents},
+    Workload{"observe-counter", updateCounter},
+    Workload{"observe-histogram", updateHistogram},
 };
 
 } // namespace
--- a/bench/bench.h
+++ b/bench/bench.h
@@ -31,6 +31,10 @@
 
 // bench/homebench.cpp
 Outcome findHome();
+// bench/observebench.cpp
+Outcome recordEvents();
+Outcome updateCounter();
+Outcome updateHistogram();
 
 } // namespace dragonflystall::bench
 
--- a/src/observe/timeline.cpp
+++ b/src/observe/timeline.cpp
@@ -3,6 +3,7 @@
 
 #include "observe/jsontext.h"
 #include "observe/log.h"
+#include "observe/metrics.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -13,7 +14,6 @@
 namespace {
 
 constexpr int CounterBits = 16;
-constexpr std::string_view NoDetail = "";
 
 } // namespace
 
@@ -49,12 +49,27 @@
     fmt::format_to(Out, R"(,"request":"{:016x}")", E.What.Request);
   if (E.What.Value != 0)
     fmt::format_to(Out, R"(,"value":{})", E.What.Value);
-  if (E.What.Detail != NoDetail)
+  if (!E.What.Detail.empty())
     fmt::format_to(Out, R"(,"detail":{})", jsonString(E.What.Detail));
   fmt::format_to(Out, "}}\n");
   return fmt::to_string(Line);
 }
 
+namespace {
+
+/// Leaves the string alone unless one of the two has text: most have none.
+void overwrite(Event &Old, const Event &New) {
+  Old.Kind = New.Kind;
+  Old.Flow = New.Flow;
+  Old.Agent = New.Agent;
+  Old.Request = New.Request;
+  Old.Value = New.Value;
+  if (!Old.Detail.empty() || !New.Detail.empty())
+    Old.Detail = New.Detail;
+}
+
+} // namespace
+
 struct Timeline::State {
   std::string Process;
   size_t Capacity;
@@ -64,6 +79,7 @@
   /// round the end, once the ring is full; before that from Ring[0] on.
   std::vector<StampedEvent> Ring;
   size_t Next = 0;
+  std::array<Counter, EventKindNames.size()> Counts;
 
   std::vector<StampedEvent> since(HybridTime Since) const;
 };
@@ -82,6 +98,7 @@
 void Timeline::record(std::chrono::system_clock::time_point Wall,
                       const Event &What) {
   const HybridTime At = State_->Clock.stamp(Wall);
+  State_->Counts[static_cast<size_t>(What.Kind)].add();
   if (levelOf(What.Kind) >= logLevel())
     fmt::print(stderr, "{}", eventJson(State_->Process, {At, What}));
   const std::lock_guard Lock(State_->Mutex);
@@ -89,8 +106,11 @@
     State_->Ring.push_back({At, What});
     return;
   }
-  State_->Ring[State_->Next] = {At, What};
-  State_->Next = (State_->Next + 1) % State_->Capacity;
+  StampedEvent &Slot = State_->Ring[State_->Next];
+  Slot.At = At;
+  overwrite(Slot.What, What);
+  if (++State_->Next == State_->Capacity)
+    State_->Next = 0;
 }
 
 std::vector<StampedEvent> Timeline::State::since(HybridTime Since) const {
@@ -111,4 +131,18 @@
   return Lines;
 }
 
+uint64_t Timeline::count(EventKind Kind) const {
+  return State_->Counts[static_cast<size_t>(Kind)].value();
+}
+
+std::string Timeline::metricsText() const {
+  std::string Text =
+      "# HELP dragonflystall_events_total Events on the time line, by kind.\n"
+      "# TYPE dragonflystall_events_total counter\n";
+  for (size_t I = 0; I < EventKindNames.size(); ++I)
+    Text += fmt::format("dragonflystall_events_total{{kind=\"{}\"}} {}\n",
+                        EventKindNames[I], State_->Counts[I].value());
+  return Text;
+}
+
 } // namespace dragonflystall
--- a/src/observe/timeline.h
+++ b/src/observe/timeline.h
@@ -44,6 +44,10 @@
   /// JSON lines of the ring's events at or after Since, oldest first. Any
   /// thread.
   std::string snapshotJson(HybridTime Since) const;
+  /// How many events of the kind were recorded since the start. Any thread.
+  uint64_t count(EventKind Kind) const;
+  /// The counts in the Prometheus text format. Any thread.
+  std::string metricsText() const;
 
 private:
   struct State;
