Run requests at one agent, with tickets, a queue and admission

Retransmissions get the recorded answer. A slow answer is acknowledged and sent as a message of its own until the caller acknowledges it.

--- /dev/null
+++ b/src/requests/execution.cpp
@@ -0,0 +1,210 @@
+// The queue and the runs at the local upstream, and how a job ends.
+#include "state.h"
+
+#include <algorithm>
+
+namespace dragonflystall {
+
+namespace {
+
+/// The upstream client ends each run in time; a run that is later than this
+/// is answered without it.
+constexpr Duration AnswerGrace = 500ms;
+/// What a refused caller is asked to wait at least.
+constexpr Duration MinRetryAfter = 1s;
+
+UpstreamAnswer timedOut() {
+  UpstreamAnswer Result;
+  Result.Outcome = UpstreamOutcome::TimedOut;
+  return Result;
+}
+
+} // namespace
+
+Event requestEvent(EventKind Kind, const FlowKey &Flow, uint64_t Request,
+                   uint64_t Value) {
+  Event Result;
+  Result.Kind = Kind;
+  Result.Flow = Flow;
+  Result.Request = Request;
+  Result.Value = Value;
+  return Result;
+}
+
+Job &Requests::State::add(Job Value) {
+  Value.Id = NextJob++;
+  ++Busy[Value.Work.Flow];
+  return Jobs.emplace(Value.Id, std::move(Value)).first->second;
+}
+
+/// Until a new request at the end of the queue starts.
+Duration Requests::State::expectedWait() const {
+  const auto Ahead = static_cast<int64_t>(Queue.size() + 1);
+  return Limit.typicalLatency() * Ahead / Limit.limit();
+}
+
+bool Requests::State::startsInTime(const Job &Value, TimePoint Now) const {
+  const Duration Needed = expectedWait() + Limit.typicalLatency();
+  return Now + Needed < Value.Work.Deadline;
+}
+
+/// Runs it, queues it, or refuses it: whichever is the best that is honest.
+void Requests::State::place(Job &Value, TimePoint Now, AgentActions &Out) {
+  const bool InTime = Now < Value.Work.Deadline;
+  if (!Leaving && InTime && Queue.empty() && Runs.size() < Limit.limit()) {
+    start(Value, Now, Out);
+    return;
+  }
+  if (!Leaving && Queue.size() < Service.MaxQueue && startsInTime(Value, Now)) {
+    Value.Phase = JobPhase::Queued;
+    Queue.push_back(Value.Id);
+    return;
+  }
+  refuse(Value, Now, Out);
+}
+
+void Requests::State::start(Job &Value, TimePoint Now, AgentActions &Out) {
+  const RunId Id{NextRun++};
+  Value.Phase = JobPhase::Running;
+  Value.Run = Id;
+  Run Started;
+  Started.Job = Value.Id;
+  Started.Flow = Value.Work.Flow;
+  Started.Method = Value.Work.Method;
+  Started.UsedTicket = Value.UsedTicket;
+  Started.Started = Now;
+  Started.Deadline = Value.Work.Deadline;
+  Started.Concurrency = static_cast<uint32_t>(Runs.size() + 1);
+  Runs.emplace(Id, Started);
+  Out.emplace_back(requestEvent(EventKind::RequestStarted, Value.Work.Flow,
+                                Value.Id, static_cast<uint64_t>(Id)));
+  Out.emplace_back(RunUpstream{Id, Value.Work.Flow.Caller, Value.Work.Method,
+                               Value.Work.Path, Value.Work.Query,
+                               Value.Work.Body, Value.Work.ContentFormat,
+                               Value.Work.Deadline - Now});
+}
+
+void Requests::State::drainQueue(TimePoint Now, AgentActions &Out) {
+  while (!Queue.empty() && Runs.size() < Limit.limit()) {
+    Job &Next = Jobs.at(Queue.front());
+    // One that can't end in time any more would only waste the upstream.
+    if (Now + Limit.typicalLatency() < Next.Work.Deadline) {
+      Queue.pop_front();
+      start(Next, Now, Out);
+      continue;
+    }
+    refuse(Next, Now, Out);
+  }
+}
+
+void Requests::State::onUpstream(const UpstreamAnswer &Value, TimePoint Now,
+                                 AgentActions &Out) {
+  const auto At = Runs.find(Value.Run);
+  if (At == Runs.end())
+    return;
+  const Run Ended = At->second;
+  Runs.erase(At);
+  Admission::Sample Sample;
+  Sample.Outcome = Value.Outcome;
+  Sample.Method = Ended.Method;
+  Sample.Bytes = Value.Body.size();
+  Sample.Started = Ended.Started;
+  Sample.Concurrency = Ended.Concurrency;
+  Sample.Cancelled = Ended.Cancelled;
+  Limit.onOutcome(Sample, Now, Out);
+  const auto Found = Jobs.find(Ended.Job);
+  if (Found != Jobs.end() && Found->second.Run == Value.Run)
+    conclude(Found->second, Value, Now, Out);
+  else if (Ended.UsedTicket && Value.Outcome == UpstreamOutcome::Answered)
+    // Its job was given up as "may have run"; now the record says better.
+    Tickets.settle(Ended.Flow, *Ended.UsedTicket, answerOf(Value));
+  drainQueue(Now, Out);
+}
+
+void Requests::State::conclude(Job &Value, const UpstreamAnswer &Upstream,
+                               TimePoint Now, AgentActions &Out) {
+  Value.Run = RunId::None;
+  switch (Upstream.Outcome) {
+  case UpstreamOutcome::Answered:
+    finish(Value, answerOf(Upstream), Now, Out);
+    return;
+  case UpstreamOutcome::Shed:
+  case UpstreamOutcome::Refused:
+    refuse(Value, Now, Out);
+    return;
+  case UpstreamOutcome::Failed:
+    finish(Value, bareAnswer(Code::BadGateway, Verdict::MayHaveRun), Now, Out);
+    return;
+  case UpstreamOutcome::TimedOut:
+    finish(Value, bareAnswer(Code::GatewayTimeout, Verdict::MayHaveRun), Now,
+           Out);
+    return;
+  }
+}
+
+/// The ticket's record is settled before anyone is told: a "not run" burns it.
+void Requests::State::finish(Job &Value, const Answer &Result, TimePoint Now,
+                             AgentActions &Out) {
+  if (Value.Phase == JobPhase::Queued)
+    std::erase(Queue, Value.Id);
+  const Job Done = std::move(Value);
+  Jobs.erase(Done.Id);
+  const FlowKey &Flow = Done.Work.Flow;
+  if (--Busy[Flow] == 0)
+    Busy.erase(Flow);
+  const bool NotRun = Result.Verdict == Verdict::NotRun;
+  if (Done.UsedTicket) {
+    Tickets.settle(Flow, *Done.UsedTicket, Result);
+    if (NotRun)
+      Out.emplace_back(requestEvent(EventKind::TicketBurnt, Flow, Done.Id));
+  }
+  Out.emplace_back(requestEvent(
+      NotRun ? EventKind::RequestRefused : EventKind::RequestFinished, Flow,
+      Done.Id, static_cast<uint64_t>(Result.Verdict)));
+  for (const ReplyTo &To : Done.Callers)
+    deliver(Flow, To, Result, !isIdempotent(Done.Work.Method), Now, Out);
+}
+
+/// Only for a request that certainly did not run.
+void Requests::State::refuse(Job &Value, TimePoint Now, AgentActions &Out) {
+  const Duration RetryAfter = std::max(expectedWait(), MinRetryAfter);
+  finish(Value, refusal(Verdict::NotRun, RetryAfter), Now, Out);
+}
+
+void Requests::State::cancel(Job &Value, TimePoint Now, AgentActions &Out) {
+  Out.emplace_back(
+      requestEvent(EventKind::RequestCancelled, Value.Work.Flow, Value.Id));
+  Value.Cancelled = true;
+  if (Value.Phase == JobPhase::Queued) {
+    refuse(Value, Now, Out);
+    return;
+  }
+  if (Value.Phase == JobPhase::Running) {
+    Runs.at(Value.Run).Cancelled = true;
+    Out.emplace_back(CancelUpstream{Value.Run});
+  }
+}
+
+/// Queued jobs that can't start in time, and runs whose end never came.
+void Requests::State::sweepJobs(TimePoint Now, AgentActions &Out) {
+  std::vector<uint64_t> Late;
+  for (const auto &[Id, Each] : Jobs) {
+    const bool Queued = Each.Phase == JobPhase::Queued &&
+                        Now + Limit.typicalLatency() >= Each.Work.Deadline;
+    const bool Overdue = Each.Phase == JobPhase::Running &&
+                         Now >= Each.Work.Deadline + AnswerGrace;
+    if (Queued || Overdue)
+      Late.push_back(Id);
+  }
+  for (const uint64_t Id : Late) {
+    Job &Value = Jobs.at(Id);
+    if (Value.Phase == JobPhase::Queued) {
+      refuse(Value, Now, Out);
+      continue;
+    }
+    Out.emplace_back(CancelUpstream{Value.Run});
+    conclude(Value, timedOut(), Now, Out);
+  }
+}
+
+} // namespace dragonflystall
--- /dev/null
+++ b/src/requests/intake.cpp
@@ -0,0 +1,209 @@
+// What callers send: duplicates get what was given, non-idempotent requests
+// need a ticket, and the rest becomes a job.
+#include "state.h"
+
+#include <algorithm>
+
+namespace dragonflystall {
+
+namespace {
+
+/// A caller that names a longer timeout gets this one.
+constexpr Duration MaxRequestTimeout = 60s;
+/// Messages of one caller that wait for the same answer.
+constexpr size_t MaxCallersOfJob = 4;
+
+bool isKnownMethod(Code Method) {
+  return Method >= Code::Get && Method <= Code::Delete;
+}
+
+ReplyTo replyTo(const AgentPacket &Packet, TimePoint Now) {
+  ReplyTo To;
+  To.Header = Packet.Header;
+  To.Type = Packet.Decoded.Type;
+  To.MessageId = Packet.Decoded.MessageId;
+  To.Token = Packet.Decoded.Token;
+  To.Block1 = Packet.Decoded.Block1;
+  To.Block2 = Packet.Decoded.Block2;
+  To.At = Now;
+  return To;
+}
+
+} // namespace
+
+void Requests::State::onMessage(const AgentPacket &Packet, TimePoint Now,
+                                AgentActions &Out) {
+  const Message &Value = Packet.Decoded;
+  const FlowKey Flow = flowOf(Packet.Header);
+  Replies.heard(Packet.Header.Balancer, Now);
+  follow(Flow, Packet.Header.Balancer);
+  if (Value.Type == MessageType::Acknowledgement ||
+      Value.Type == MessageType::Reset) {
+    Replies.acknowledged(Flow, Value.MessageId);
+    return;
+  }
+  ReplyTo To = replyTo(Packet, Now);
+  if (!isRequest(Value.Kind)) {
+    // RFC 7252, section 4.3: an empty confirmable message is a ping.
+    if (Value.Kind == Code::Empty && Value.Type == MessageType::Confirmable) {
+      Message Pong;
+      Pong.Type = MessageType::Reset;
+      Pong.MessageId = Value.MessageId;
+      Replies.send(To.Header, Pong, Out);
+    }
+    return;
+  }
+  if (const Duplicates::Entry *Known = Recent.find(Flow, Value)) {
+    repeat(Flow, *Known, To, Out);
+    return;
+  }
+  Recent.begin(Flow, Value, Now);
+  if (Value.Cancel)
+    onCancel(Flow, Value, std::move(To), Now, Out);
+  else
+    onRequest(Flow, Value, std::move(To), Now, Out);
+}
+
+/// Answers go by the balancer that the caller's packets come by now.
+void Requests::State::follow(const FlowKey &Flow, Endpoint Balancer) {
+  if (!Balancer)
+    return;
+  Replies.moved(Flow, Balancer);
+  if (!Busy.contains(Flow))
+    return;
+  for (auto &[Id, Each] : Jobs)
+    if (Each.Work.Flow == Flow)
+      for (ReplyTo &To : Each.Callers)
+        To.Header.Balancer = Balancer;
+}
+
+void Requests::State::repeat(const FlowKey &Flow,
+                             const Duplicates::Entry &Known, const ReplyTo &To,
+                             AgentActions &Out) {
+  if (To.Type != MessageType::Confirmable && !Known.Given)
+    return;
+  Out.emplace_back(requestEvent(EventKind::DuplicateAnswered, Flow, 0));
+  if (Known.Given) {
+    Replies.send(To.Header, *Known.Given, Out);
+    return;
+  }
+  ReplyTo Waiting = To;
+  acknowledge(Waiting, Out);
+}
+
+void Requests::State::onRequest(const FlowKey &Flow, const Message &Request,
+                                ReplyTo To, TimePoint Now, AgentActions &Out) {
+  if (!isKnownMethod(Request.Kind)) {
+    deliver(Flow, std::move(To), bareAnswer(Code::BadRequest, Verdict::NotRun),
+            false, Now, Out);
+    return;
+  }
+  if (isIdempotent(Request.Kind))
+    accept(Flow, Request, std::move(To), std::nullopt, Now, Out);
+  else
+    onTicketed(Flow, Request, std::move(To), Now, Out);
+}
+
+void Requests::State::onTicketed(const FlowKey &Flow, const Message &Request,
+                                 ReplyTo To, TimePoint Now, AgentActions &Out) {
+  const TicketCheck Checked =
+      Tickets.check(Flow, Request.Echo.value_or(""), Now);
+  switch (Checked.State) {
+  case TicketState::Fresh:
+    Tickets.use(Flow, Checked);
+    accept(Flow, Request, std::move(To), Checked.Id, Now, Out);
+    return;
+  case TicketState::Recorded:
+    onUsedTicket(Flow, Checked, std::move(To), Now, Out);
+    return;
+  case TicketState::Unknown:
+    // No 4.01, which would make a stock caller send the request again.
+    deliver(Flow, std::move(To),
+            bareAnswer(Code::GatewayTimeout, Verdict::MayHaveRun), true, Now,
+            Out);
+    return;
+  case TicketState::Lapsed:
+    // Never usable again, even if the clock's reading were in doubt.
+    Tickets.use(Flow, Checked);
+    Tickets.settle(Flow, Checked.Id,
+                   bareAnswer(Code::Unauthorized, Verdict::NotRun));
+    break;
+  case TicketState::NoTicket:
+    break;
+  }
+  Out.emplace_back(requestEvent(EventKind::TicketIssued, Flow, 0));
+  deliver(Flow, std::move(To), bareAnswer(Code::Unauthorized, Verdict::NotRun),
+          true, Now, Out);
+}
+
+/// The ticket is on record: whoever repeats it gets the one outcome.
+void Requests::State::onUsedTicket(const FlowKey &Flow,
+                                   const TicketCheck &Checked, ReplyTo To,
+                                   TimePoint Now, AgentActions &Out) {
+  if (Checked.Use->Outcome) {
+    const Answer Known = *Checked.Use->Outcome;
+    Out.emplace_back(requestEvent(EventKind::DuplicateAnswered, Flow, 0));
+    deliver(Flow, std::move(To), Known, true, Now, Out);
+    return;
+  }
+  for (auto &[Id, Each] : Jobs) {
+    if (Each.UsedTicket != Checked.Id || Each.Work.Flow != Flow)
+      continue;
+    if (Each.Callers.size() >= MaxCallersOfJob)
+      Each.Callers.erase(Each.Callers.begin());
+    Each.Callers.push_back(std::move(To));
+    return;
+  }
+}
+
+void Requests::State::accept(const FlowKey &Flow, const Message &Request,
+                             ReplyTo To, std::optional<Ticket> Used,
+                             TimePoint Now, AgentActions &Out) {
+  Job Value;
+  Value.Work.Flow = Flow;
+  Value.Work.Method = Request.Kind;
+  Value.Work.Path = Request.Path;
+  Value.Work.Query = Request.Query;
+  Value.Work.Body = Request.Payload;
+  Value.Work.ContentFormat = Request.ContentFormat;
+  const Duration Timeout = Request.Timeout.value_or(Service.RequestTimeout);
+  Value.Work.Deadline = Now + std::min(Timeout, MaxRequestTimeout);
+  Value.UsedTicket = Used;
+  Value.Callers.push_back(std::move(To));
+  place(add(std::move(Value)), Now, Out);
+}
+
+/// The caller gives up the request with the same token. The verdict answers
+/// both, since it goes to their common token.
+void Requests::State::onCancel(const FlowKey &Flow, const Message &Request,
+                               ReplyTo To, TimePoint Now, AgentActions &Out) {
+  for (auto &[Id, Each] : Jobs) {
+    const bool Same =
+        Each.Work.Flow == Flow &&
+        std::ranges::any_of(Each.Callers, [&](const ReplyTo &Caller) {
+          return Caller.Token == Request.Token;
+        });
+    if (!Same)
+      continue;
+    acknowledge(To, Out);
+    cancel(Each, Now, Out);
+    return;
+  }
+  TicketCheck Checked = Tickets.check(Flow, Request.Echo.value_or(""), Now);
+  if (Checked.State == TicketState::Recorded) {
+    onUsedTicket(Flow, Checked, std::move(To), Now, Out);
+    return;
+  }
+  Answer Result = bareAnswer(Code::GatewayTimeout, Verdict::MayHaveRun);
+  if (Checked.State == TicketState::Fresh ||
+      Checked.State == TicketState::Lapsed) {
+    // The request may still come: burn its ticket before saying "not run".
+    Result = refusal(Verdict::NotRun, 1s);
+    Tickets.use(Flow, Checked);
+    Tickets.settle(Flow, Checked.Id, Result);
+    Out.emplace_back(requestEvent(EventKind::TicketBurnt, Flow, 0));
+  }
+  deliver(Flow, std::move(To), Result, false, Now, Out);
+}
+
+} // namespace dragonflystall
--- /dev/null
+++ b/src/requests/requests.cpp
@@ -0,0 +1,115 @@
+// The public face of Requests: hands each event to the part that knows it.
+#include "requests.h"
+
+#include "state.h"
+
+namespace dragonflystall {
+
+namespace {
+
+/// Seeds of the parts: one stream each, so that a change in one part's use of
+/// randomness leaves the others as they are.
+enum class Stream : uint64_t { Own = 0, Tickets = 1, Outbox = 2 };
+
+uint64_t seedOf(uint64_t Seed, Stream Of) {
+  return Seed + static_cast<uint64_t>(Of) * 0x9e3779b97f4a7c15ULL;
+}
+
+} // namespace
+
+Requests::State::State(AgentIdentity Identity, uint64_t Seed)
+    : Self(std::move(Identity)), Random(seedOf(Seed, Stream::Own)),
+      Tickets(Self.Self.Agent, seedOf(Seed, Stream::Tickets)),
+      Replies(Self.Self.Agent.Id, seedOf(Seed, Stream::Outbox)),
+      Limit(Self.Self.Slots) {}
+
+Requests::Requests(AgentIdentity Self, uint64_t Seed)
+    : State_(std::make_unique<State>(std::move(Self), Seed)) {}
+
+Requests::~Requests() = default;
+
+void Requests::onMessage(const AgentPacket &Packet, TimePoint Now,
+                         AgentActions &Out) {
+  State_->onMessage(Packet, Now, Out);
+}
+
+void Requests::onUpstream(const UpstreamAnswer &Answer, TimePoint Now,
+                          AgentActions &Out) {
+  State_->onUpstream(Answer, Now, Out);
+}
+
+void Requests::onHint(const UpstreamHint &Hint, TimePoint /*Now*/,
+                      AgentActions & /*Out*/) {
+  State_->Limit.onHint(Hint);
+}
+
+void Requests::onPeer(const wire::ControlMessage & /*Value*/, TimePoint /*Now*/,
+                      AgentActions & /*Out*/) {}
+
+void Requests::onSettings(const SettingsPtr &Value, TimePoint Now,
+                          AgentActions &Out) {
+  const ServiceId Own = serviceId(State_->Self.Team, State_->Self.Service);
+  const ServiceSettings *Found = Value ? Value->service(Own) : nullptr;
+  if (Found == nullptr)
+    return;
+  State_->Service = *Found;
+  State_->Limit.setSlots(std::min(State_->Self.Self.Slots, Found->MaxSlots));
+  State_->drainQueue(Now, Out);
+}
+
+void Requests::setPeers(std::vector<PeerView> Peers) {
+  State_->Peers = std::move(Peers);
+}
+
+void Requests::leave(TimePoint /*Now*/, AgentActions & /*Out*/) {
+  State_->Leaving = true;
+}
+
+void Requests::tick(TimePoint Now, AgentActions &Out) {
+  for (const auto &[Id, Each] : State_->Runs)
+    State_->Limit.onRunning(Each.Started, Now, Out);
+  State_->sweepJobs(Now, Out);
+  State_->drainQueue(Now, Out);
+  State_->acknowledgeSlow(Now, Out);
+  State_->Replies.tick(Now, Out);
+  State_->Recent.tick(Now);
+  State_->Tickets.tick(Now);
+}
+
+OwnLoad Requests::load() const {
+  OwnLoad Result;
+  Result.Running = static_cast<uint32_t>(State_->Runs.size());
+  Result.Queued = static_cast<uint32_t>(State_->Queue.size());
+  Result.Limit = State_->Limit.limit();
+  return Result;
+}
+
+size_t Requests::inProgress() const {
+  return State_->Jobs.size() + State_->Replies.unacknowledged();
+}
+
+bool Requests::busy(const FlowKey &Flow) const {
+  return State_->Busy.contains(Flow);
+}
+
+wire::FlowState Requests::exportFlow(const FlowKey &Flow, TimePoint Now) {
+  wire::FlowState Result;
+  Result.mutable_flow()->set_caller_ip(Flow.Caller.Ip);
+  Result.mutable_flow()->set_caller_port(Flow.Caller.Port);
+  State_->Tickets.exportFlow(Flow, Now, Result);
+  State_->Recent.exportFlow(Flow, Result);
+  State_->Recent.dropFlow(Flow);
+  return Result;
+}
+
+void Requests::importFlow(const FlowKey &Flow, const wire::FlowState &State,
+                          TimePoint Now) {
+  if (State_->Tickets.importFlow(Flow, State, Now))
+    State_->Recent.importFlow(Flow, State, Now);
+}
+
+void Requests::dropFlow(const FlowKey &Flow, TimePoint /*Now*/) {
+  State_->Recent.dropFlow(Flow);
+}
+
+} // namespace dragonflystall
--- /dev/null
+++ b/src/requests/requests_test.cpp
@@ -0,0 +1,72 @@
+// What callers of one agent see: answers, tickets, duplicates, deadlines.
+#include "testagent.h"
+
+#include <gtest/gtest.h>
+
+namespace dragonflystall {
+namespace {
+
+Message onlyAnswer(const AgentActions &Actions) {
+  const auto Sent = only<SendMessage>(Actions);
+  EXPECT_EQ(Sent.size(), 1U);
+  return Sent.empty() ? Message() : Sent[0].Value;
+}
+
+RunId onlyRun(const AgentActions &Actions) {
+  const auto Runs = only<RunUpstream>(Actions);
+  EXPECT_EQ(Runs.size(), 1U);
+  return Runs.empty() ? RunId::None : Runs[0].Run;
+}
+
+TEST(Requests, AnIdempotentRequestRunsAtOnce) {
+  TestAgent Agent(testIdentity("a"));
+  const RunId Run =
+      onlyRun(Agent.receive(TestAgent::request(Code::Get, "abc")));
+  const Message Answer = onlyAnswer(Agent.answered(Run, "body"));
+  EXPECT_EQ(Answer.Type, MessageType::Acknowledgement);
+  EXPECT_EQ(Answer.Kind, Code::Content);
+  EXPECT_EQ(Answer.Token, "abc");
+  EXPECT_EQ(Answer.Payload, "body");
+  EXPECT_EQ(Answer.Verdict, Verdict::Ran);
+  EXPECT_EQ(Agent.Core.inProgress(), 0U);
+}
+
+TEST(Requests, ANonIdempotentRequestNeedsATicketAndRunsOnce) {
+  TestAgent Agent(testIdentity("a"));
+  Message First = TestAgent::request(Code::Post);
+  First.MessageId = 77;
+  const Message Challenge = onlyAnswer(Agent.receive(First));
+  EXPECT_EQ(Challenge.Kind, Code::Unauthorized);
+  EXPECT_EQ(Challenge.Verdict, Verdict::NotRun);
+  // A retransmission gets the same ticket.
+  EXPECT_EQ(onlyAnswer(Agent.receive(First)), Challenge);
+  const RunId Run =
+      onlyRun(Agent.receive(Agent.ticketed(*Challenge.Echo, "u")));
+  const Message Answer = onlyAnswer(Agent.answered(Run));
+  EXPECT_EQ(Answer.Verdict, Verdict::Ran);
+  EXPECT_NE(Answer.Echo, Challenge.Echo);
+  // The same ticket under a new token gets the outcome, and runs nothing.
+  const AgentActions Again =
+      Agent.receive(Agent.ticketed(*Challenge.Echo, "v"));
+  EXPECT_TRUE(only<RunUpstream>(Again).empty());
+  EXPECT_EQ(onlyAnswer(Again).Payload, "done");
+  EXPECT_EQ(onlyAnswer(Again).Token, "v");
+}
+
+TEST(Requests, ASlowAnswerIsAcknowledgedAndSentUntilAcknowledged) {
+  TestAgent Agent(testIdentity("a"));
+  const RunId Run = onlyRun(Agent.receive(TestAgent::request(Code::Get)));
+  const Message Empty = onlyAnswer(Agent.pass(200ms));
+  EXPECT_EQ(Empty.Kind, Code::Empty);
+  const Message Answer = onlyAnswer(Agent.answered(Run));
+  EXPECT_EQ(Answer.Type, MessageType::Confirmable);
+  EXPECT_EQ(only<SendMessage>(Agent.pass(3s)).size(), 1U);
+  Message Ack;
+  Ack.Type = MessageType::Acknowledgement;
+  Ack.MessageId = Answer.MessageId;
+  Agent.receive(Ack);
+  EXPECT_TRUE(only<SendMessage>(Agent.pass(60s)).empty());
+}
+
+} // namespace
+} // namespace dragonflystall
--- /dev/null
+++ b/src/requests/state.h
@@ -0,0 +1,91 @@
+// What Requests is made of. Its functions are spread over intake.cpp (what
+// callers send), execution.cpp (queue and runs), delivery.cpp (answers),
+// blockwise.cpp (large bodies) and spilling.cpp (peers).
+#ifndef DRAGONFLYSTALL_SRC_REQUESTS_STATE_H
+#define DRAGONFLYSTALL_SRC_REQUESTS_STATE_H
+
+#include "admission/admission.h"
+#include "duplicates.h"
+#include "job.h"
+#include "outbox.h"
+#include "requests.h"
+#include "ticketbook.h"
+
+#include <deque>
+#include <map>
+#include <unordered_map>
+
+namespace dragonflystall {
+
+struct Requests::State {
+  State(AgentIdentity Self, uint64_t Seed);
+
+  const AgentIdentity Self;
+  ServiceSettings Service;
+  dragonflystall::Random Random;
+  TicketBook Tickets;
+  Duplicates Recent;
+  Outbox Replies;
+  Admission Limit;
+  std::vector<PeerView> Peers;
+  bool Leaving = false;
+
+  /// Ordered, so that what is done for all of them is done in the same order
+  /// in each run.
+  std::map<uint64_t, Job> Jobs;
+  /// Invariant: exactly the jobs in phase Queued, oldest first.
+  std::deque<uint64_t> Queue;
+  /// Invariant: never more than the upstream's slots.
+  std::map<RunId, Run> Runs;
+  /// Jobs of each flow; no flow is listed with none.
+  std::unordered_map<FlowKey, uint32_t, FlowKeyHash> Busy;
+  uint64_t NextJob = 1;
+  uint64_t NextRun = 1;
+
+  // intake.cpp
+  void onMessage(const AgentPacket &Packet, TimePoint Now, AgentActions &Out);
+  void onRequest(const FlowKey &Flow, const Message &Request, ReplyTo To,
+                 TimePoint Now, AgentActions &Out);
+  void onTicketed(const FlowKey &Flow, const Message &Request, ReplyTo To,
+                  TimePoint Now, AgentActions &Out);
+  void onUsedTicket(const FlowKey &Flow, const TicketCheck &Checked, ReplyTo To,
+                    TimePoint Now, AgentActions &Out);
+  void accept(const FlowKey &Flow, const Message &Request, ReplyTo To,
+              std::optional<Ticket> Used, TimePoint Now, AgentActions &Out);
+  void onCancel(const FlowKey &Flow, const Message &Request, ReplyTo To,
+                TimePoint Now, AgentActions &Out);
+  void repeat(const FlowKey &Flow, const Duplicates::Entry &Known,
+              const ReplyTo &To, AgentActions &Out);
+  void follow(const FlowKey &Flow, Endpoint Balancer);
+
+  // execution.cpp
+  Job &add(Job Value);
+  void place(Job &Value, TimePoint Now, AgentActions &Out);
+  void start(Job &Value, TimePoint Now, AgentActions &Out);
+  void drainQueue(TimePoint Now, AgentActions &Out);
+  void onUpstream(const UpstreamAnswer &Value, TimePoint Now,
+                  AgentActions &Out);
+  void conclude(Job &Value, const UpstreamAnswer &Upstream, TimePoint Now,
+                AgentActions &Out);
+  void finish(Job &Value, const Answer &Result, TimePoint Now,
+              AgentActions &Out);
+  void refuse(Job &Value, TimePoint Now, AgentActions &Out);
+  void cancel(Job &Value, TimePoint Now, AgentActions &Out);
+  void sweepJobs(TimePoint Now, AgentActions &Out);
+  Duration expectedWait() const;
+  bool startsInTime(const Job &Value, TimePoint Now) const;
+
+  // delivery.cpp
+  void deliver(const FlowKey &Flow, ReplyTo To, const Answer &Result,
+               bool WithTicket, TimePoint Now, AgentActions &Out);
+  void acknowledge(ReplyTo &To, AgentActions &Out);
+  void acknowledgeSlow(TimePoint Now, AgentActions &Out);
+};
+
+/// An event about a request, for the time line.
+Event requestEvent(EventKind Kind, const FlowKey &Flow, uint64_t Request,
+                   uint64_t Value = 0);
+
+} // namespace dragonflystall
+
+#endif
--- /dev/null
+++ b/src/requests/tickettransfer.cpp
@@ -0,0 +1,155 @@
+// Hand-over of one flow's tickets: the key that checks them, which were used,
+// and the fence that keeps the giver from accepting them afterwards.
+#include "ticketbook.h"
+#include "ticketlimits.h"
+
+#include <algorithm>
+
+namespace dragonflystall {
+
+namespace {
+
+/// What a TicketUse on the wire says in its state.
+enum class UseState : uint32_t { InProgress = 0, Settled = 1 };
+
+uint64_t millis(TimePoint When) {
+  return static_cast<uint64_t>(
+      std::chrono::floor<std::chrono::milliseconds>(When.time_since_epoch())
+          .count());
+}
+
+uint32_t leftMs(TimePoint Until, TimePoint Now) {
+  const auto Left =
+      std::chrono::ceil<std::chrono::milliseconds>(Until - Now).count();
+  return static_cast<uint32_t>(std::clamp<int64_t>(Left, 0, UINT32_MAX));
+}
+
+void writeUse(const TicketUse &Use, TimePoint Now, wire::TicketUse &Into) {
+  Into.set_counter(Use.Id.Counter);
+  Into.set_expiry_ms(Use.Id.ExpiryMs);
+  Into.set_lifetime_ms(leftMs(Use.Expiry + RecordLifetime, Now));
+  const UseState State = Use.Outcome ? UseState::Settled : UseState::InProgress;
+  Into.set_state(static_cast<uint32_t>(State));
+  if (Use.Outcome)
+    *Into.mutable_answer() = toWire(*Use.Outcome);
+}
+
+TicketUse readUse(const wire::TicketUse &From, AgentRef Issuer, TimePoint Now) {
+  TicketUse Use;
+  Use.Id = {Issuer, From.counter(), From.expiry_ms()};
+  Use.Expiry =
+      Now + std::chrono::milliseconds(From.lifetime_ms()) - RecordLifetime;
+  // A flow moves only when nothing is in progress, so this one's end is lost.
+  Use.Outcome = From.state() == static_cast<uint32_t>(UseState::Settled)
+                    ? fromWire(From.answer())
+                    : bareAnswer(Code::GatewayTimeout, Verdict::MayHaveRun);
+  return Use;
+}
+
+} // namespace
+
+wire::TicketAuthority TicketBook::ownAuthority(const FlowKey &Flow,
+                                               TimePoint Now) const {
+  wire::TicketAuthority Result;
+  Result.mutable_issuer()->set_id(static_cast<uint32_t>(Self_.Id));
+  Result.mutable_issuer()->set_incarnation(static_cast<uint64_t>(Self_.Start));
+  const FlowTicketKey Key = flowTicketKey(Secret_, Flow);
+  Result.set_key(Key.data(), Key.size());
+  Result.set_lifetime_ms(leftMs(NewestExpiry_, Now));
+  Result.set_issuer_now_ms(millis(Now));
+  Result.set_floor_ms(FloorMs_);
+  return Result;
+}
+
+void TicketBook::exportFlow(const FlowKey &Flow, TimePoint Now,
+                            wire::FlowState &Into) {
+  FlowTickets &Of = Flows_[Flow];
+  // What was given away is no longer here to give.
+  if (Of.Away)
+    return;
+  Into.set_moves(Of.Moves + 1);
+  *Into.add_authorities() = ownAuthority(Flow, Now);
+  for (const Authority &Each : Of.Authorities) {
+    if (Each.Until <= Now)
+      continue;
+    wire::TicketAuthority &Out = *Into.add_authorities();
+    Out.mutable_issuer()->set_id(static_cast<uint32_t>(Each.Issuer.Id));
+    Out.mutable_issuer()->set_incarnation(
+        static_cast<uint64_t>(Each.Issuer.Start));
+    Out.set_key(Each.Key.data(), Each.Key.size());
+    Out.set_lifetime_ms(leftMs(Each.Until - RecordLifetime, Now));
+    Out.set_issuer_now_ms(Each.IssuerNowMs + millis(Now) -
+                          millis(Each.TakenAt));
+    Out.set_floor_ms(Each.FloorMs);
+  }
+  for (wire::TicketAuthority &Out : *Into.mutable_authorities())
+    for (const TicketUse &Use : Of.Uses)
+      if (static_cast<uint32_t>(Use.Id.Issuer.Id) == Out.issuer().id() &&
+          static_cast<uint64_t>(Use.Id.Issuer.Start) ==
+              Out.issuer().incarnation())
+        writeUse(Use, Now, *Out.add_uses());
+  ++Of.Moves;
+  Of.Away = true;
+  Of.FencedBelow = NextCounter_;
+  Of.Authorities.clear();
+  Of.FenceUntil = std::max(NewestExpiry_, Now) + RecordLifetime;
+  FlowOrder_.push({Of.FenceUntil, Flow, {}});
+}
+
+bool TicketBook::importFlow(const FlowKey &Flow, const wire::FlowState &State,
+                            TimePoint Now) {
+  const auto Known = Flows_.find(Flow);
+  if (Known != Flows_.end()) {
+    const FlowTickets &Of = Known->second;
+    const bool Newer =
+        Of.Away ? State.moves() >= Of.Moves : State.moves() > Of.Moves;
+    if (!Newer)
+      return false;
+  }
+  FlowTickets &Of = Flows_[Flow];
+  Of.Moves = State.moves();
+  Of.Away = false;
+  for (const wire::TicketAuthority &Each : State.authorities())
+    take(Of, Each, Flow, Now);
+  TimePoint Until = Now + RecordLifetime;
+  for (const Authority &Each : Of.Authorities)
+    Until = std::max(Until, Each.Until);
+  // Moves must be remembered as long as an older copy could do harm.
+  Of.FenceUntil = std::max(Of.FenceUntil, Until);
+  FlowOrder_.push({Of.FenceUntil, Flow, {}});
+  return true;
+}
+
+void TicketBook::take(FlowTickets &Into, const wire::TicketAuthority &From,
+                      const FlowKey &Flow, TimePoint Now) {
+  const AgentRef Issuer{AgentId{From.issuer().id()},
+                        Incarnation{From.issuer().incarnation()}};
+  if (From.key().size() != std::tuple_size_v<FlowTicketKey>)
+    return;
+  if (Issuer == Self_) {
+    Into.FencedBelow = 0;
+    FloorMs_ = std::max(FloorMs_, From.floor_ms());
+  } else {
+    Authority Granted;
+    Granted.Issuer = Issuer;
+    std::ranges::copy(From.key(), Granted.Key.begin());
+    Granted.TakenAt = Now;
+    Granted.IssuerNowMs = From.issuer_now_ms();
+    Granted.FloorMs = From.floor_ms();
+    Granted.Until =
+        Now + std::chrono::milliseconds(From.lifetime_ms()) + RecordLifetime;
+    std::erase_if(Into.Authorities,
+                  [&](const Authority &Each) { return Each.Issuer == Issuer; });
+    Into.Authorities.push_back(Granted);
+  }
+  const auto Known = [&](const wire::TicketUse &Use) {
+    return std::ranges::any_of(Into.Uses, [&](const TicketUse &Each) {
+      return Each.Id.Issuer == Issuer && Each.Id.Counter == Use.counter();
+    });
+  };
+  for (const wire::TicketUse &Use : From.uses())
+    if (!Known(Use))
+      addUse(Into, Flow, readUse(Use, Issuer, Now));
+}
+
+} // namespace dragonflystall
