Add the load command and its reports

Many flows with a socket and a caller each, an open loop at a steady rate, figures by phase and by second, each answer checked for service, request and length, and what the callers were told held against what the upstreams ran. A flow is broken when a call on it, after one that was served, ends without an answer or with may-have-run.

--- a/cli/command.h
+++ b/cli/command.h
@@ -30,6 +30,8 @@
 int runBench(const Arguments &Args);
 // cli/callcommand.cpp
 int runCallCommand(const Arguments &Args);
+// cli/loadcommand.cpp
+int runLoadCommand(const Arguments &Args);
 
 } // namespace dragonflystall::cli
 
--- /dev/null
+++ b/cli/loadcommand.cpp
@@ -0,0 +1,205 @@
+// `dragonflystall load`: many flows against one or more services, a report.
+#include "command.h"
+
+#include "load/generator.h"
+#include "load/report.h"
+
+#include <boost/program_options.hpp>
+#include <fmt/format.h>
+#include <fmt/ostream.h>
+#include <fstream>
+#include <unistd.h>
+
+namespace dragonflystall::cli {
+
+namespace {
+
+namespace po = boost::program_options;
+using Texts = std::vector<std::string>;
+
+struct LoadCommand {
+  load::Options Run;
+  std::string JsonFile;
+  std::string HtmlFile;
+  uint64_t MaxBroken = UINT64_MAX;
+  uint64_t MaxRefused = UINT64_MAX;
+};
+
+po::options_description knownOptions() {
+  po::options_description Known(
+      "usage: dragonflystall load --service IP:PORT=NAME[*WEIGHT] ...");
+  Known.add_options()("help", "this text")(
+      "service", po::value<Texts>()->required()->composing(),
+      "address, name in the answers, and share of the flows")(
+      "upstream", po::value<Texts>()->composing(),
+      "IP:PORT of a stand-in upstream that tells what ran")(
+      "flows", po::value<uint32_t>()->default_value(100), "open flows")(
+      "rate", po::value<double>()->default_value(100), "calls a second")(
+      "seconds", po::value<double>()->default_value(10),
+      "how long")("post-percent", po::value<uint32_t>()->default_value(30),
+                  "calls that may not be repeated")(
+      "large-percent", po::value<uint32_t>()->default_value(0),
+      "GETs of a large body")("large-bytes",
+                              po::value<uint32_t>()->default_value(65536),
+                              "bytes of a large body")(
+      "timeout-ms", po::value<uint32_t>()->default_value(5000),
+      "timeout of a call")("seed", po::value<uint64_t>()->default_value(1),
+                           "of keys, order and retransmissions")(
+      "phase-at", po::value<Texts>()->composing(),
+      "SECONDS=NAME: count under NAME from then on")(
+      "phase-file", po::value<std::string>()->default_value(""),
+      "lines appended to this file start phases")(
+      "max-broken", po::value<uint64_t>(),
+      "fail when more flows broke")("max-refused", po::value<uint64_t>(),
+                                    "fail when more calls were refused")(
+      "json", po::value<std::string>()->implicit_value("-"),
+      "write the report as JSON to this file, - for standard output")(
+      "html", po::value<std::string>()->default_value(""),
+      "write the report as a page to this file");
+  return Known;
+}
+
+std::optional<load::Target> parseTarget(const std::string &Text) {
+  const size_t Equals = Text.find('=');
+  if (Equals == std::string::npos)
+    return std::nullopt;
+  const auto Address = parseEndpoint(Text.substr(0, Equals));
+  const size_t Star = Text.find('*', Equals);
+  load::Target Result;
+  Result.Service = Text.substr(Equals + 1, Star - Equals - 1);
+  if (Star != std::string::npos)
+    Result.Weight =
+        static_cast<uint32_t>(std::strtoul(&Text[Star + 1], nullptr, 10));
+  if (!Address || Result.Weight == 0)
+    return std::nullopt;
+  Result.Address = *Address;
+  return Result;
+}
+
+Duration toDuration(double Seconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(Seconds));
+}
+
+std::optional<load::PhaseMark> parsePhase(const std::string &Text) {
+  const size_t Equals = Text.find('=');
+  if (Equals == std::string::npos)
+    return std::nullopt;
+  return load::PhaseMark{toDuration(std::strtod(Text.c_str(), nullptr)),
+                         Text.substr(Equals + 1)};
+}
+
+/// Parses each text of an option; the error names the option and the text.
+template <typename T, typename F>
+tl::expected<std::vector<T>, std::string>
+parseAll(const po::variables_map &Given, const std::string &Option, F Parse) {
+  std::vector<T> All;
+  if (Given.count(Option) == 0)
+    return All;
+  for (const std::string &Text : Given[Option].as<Texts>()) {
+    auto Parsed = Parse(Text);
+    if (!Parsed)
+      return tl::unexpected(
+          fmt::format("--{}: cannot read '{}'", Option, Text));
+    All.push_back(std::move(*Parsed));
+  }
+  return All;
+}
+
+tl::expected<LoadCommand, std::string>
+toCommand(const po::variables_map &Given) {
+  LoadCommand Result;
+  load::Options &Run = Result.Run;
+  auto Targets = parseAll<load::Target>(Given, "service", parseTarget);
+  auto Upstreams = parseAll<Endpoint>(
+      Given, "upstream", [](const std::string &T) { return parseEndpoint(T); });
+  auto Phases = parseAll<load::PhaseMark>(Given, "phase-at", parsePhase);
+  if (!Targets)
+    return tl::unexpected(Targets.error());
+  if (!Upstreams)
+    return tl::unexpected(Upstreams.error());
+  if (!Phases)
+    return tl::unexpected(Phases.error());
+  Run.Targets = std::move(*Targets);
+  Run.Upstreams = std::move(*Upstreams);
+  Run.Phases = std::move(*Phases);
+  Run.Flows = Given["flows"].as<uint32_t>();
+  Run.Rate = Given["rate"].as<double>();
+  Run.Length = toDuration(Given["seconds"].as<double>());
+  Run.PostPercent = Given["post-percent"].as<uint32_t>();
+  Run.LargePercent = Given["large-percent"].as<uint32_t>();
+  Run.LargeBytes = Given["large-bytes"].as<uint32_t>();
+  Run.Timeout = std::chrono::milliseconds(Given["timeout-ms"].as<uint32_t>());
+  Run.Seed = Given["seed"].as<uint64_t>();
+  Run.PhaseFile = Given["phase-file"].as<std::string>();
+  Run.Progress = ::isatty(STDERR_FILENO) == 1;
+  Result.HtmlFile = Given["html"].as<std::string>();
+  if (Given.count("json") != 0)
+    Result.JsonFile = Given["json"].as<std::string>();
+  if (Given.count("max-broken") != 0)
+    Result.MaxBroken = Given["max-broken"].as<uint64_t>();
+  if (Given.count("max-refused") != 0)
+    Result.MaxRefused = Given["max-refused"].as<uint64_t>();
+  return Result;
+}
+
+bool writeFile(const std::string &Path, const std::string &Text) {
+  std::ofstream File(Path);
+  File << Text;
+  if (File.good())
+    return true;
+  fmt::print(stderr, "cannot write {}\n", Path);
+  return false;
+}
+
+int publish(const LoadCommand &Command, const load::Report &Report) {
+  if (Command.JsonFile == "-")
+    fmt::print("{}", load::toJson(Report));
+  else
+    fmt::print("{}", load::toText(Report));
+  bool Written = true;
+  if (!Command.JsonFile.empty() && Command.JsonFile != "-")
+    Written = writeFile(Command.JsonFile, load::toJson(Report));
+  if (!Command.HtmlFile.empty())
+    Written = writeFile(Command.HtmlFile, load::toHtml(Report)) && Written;
+  uint64_t Refused = 0;
+  for (const load::PhaseTally &P : Report.Seen.phases())
+    Refused += P.Refused;
+  const bool Kept = load::brokenPromises(Report) == 0 &&
+                    Report.Seen.brokenFlows() <= Command.MaxBroken &&
+                    Refused <= Command.MaxRefused;
+  return Written && Kept ? Success : Failed;
+}
+
+} // namespace
+
+int runLoadCommand(const Arguments &Args) {
+  const po::options_description Known = knownOptions();
+  po::variables_map Given;
+  try {
+    po::store(po::command_line_parser(Args).options(Known).run(), Given);
+    if (Given.count("help") != 0) {
+      fmt::print("{}", fmt::streamed(Known));
+      return Success;
+    }
+    po::notify(Given);
+  } catch (const po::error &E) {
+    fmt::print(stderr, "{}\n", E.what());
+    return BadUsage;
+  }
+  const auto Command = toCommand(Given);
+  if (!Command) {
+    fmt::print(stderr, "{}\n", Command.error());
+    return BadUsage;
+  }
+  load::Tally Seen(Command->Run.Flows);
+  if (auto Driven = load::drive(Command->Run, Seen); !Driven) {
+    fmt::print(stderr, "{}\n", Driven.error());
+    return Unreachable;
+  }
+  const load::Evidence Proof = load::gather(Command->Run.Upstreams);
+  const load::Judgement Judged = load::judge(Seen.told(), Proof);
+  return publish(*Command, {Command->Run, Seen, Proof, Judged});
+}
+
+} // namespace dragonflystall::cli
--- a/cli/main.cpp
+++ b/cli/main.cpp
@@ -12,6 +12,7 @@
 constexpr std::array Commands = {
     Command{"bench", "run the deterministic workloads", runBench},
     Command{"call", "send one request and print its verdict", runCallCommand},
+    Command{"load", "drive many flows and report", runLoadCommand},
 };
 
 void printCommands() {
--- a/src/caller/exchange.cpp
+++ b/src/caller/exchange.cpp
@@ -36,6 +36,7 @@
   ++Attempts_;
   RetryAt_.reset();
   Uploaded_ = 0;
+  RequestTag_ = Flow.newToken();
   Body_.clear();
   Etag_.reset();
   sendPart(Flow, Now, Out);
@@ -55,10 +56,12 @@
     return Part;
   }
   Part.Payload = What_.Body.substr(Uploaded_, UploadBlock_);
-  if (What_.Body.size() > UploadBlock_)
-    Part.Block1 = Block{static_cast<uint32_t>(Uploaded_ / UploadBlock_),
-                        Uploaded_ + Part.Payload.size() < What_.Body.size(),
-                        UploadBlock_};
+  if (What_.Body.size() <= UploadBlock_)
+    return Part;
+  Part.RequestTag = RequestTag_;
+  Part.Block1 = Block{static_cast<uint32_t>(Uploaded_ / UploadBlock_),
+                      Uploaded_ + Part.Payload.size() < What_.Body.size(),
+                      UploadBlock_};
   return Part;
 }
 
--- a/src/caller/exchange.h
+++ b/src/caller/exchange.h
@@ -68,6 +68,7 @@
   // Upload: bytes of the request's body that were taken, and the block size.
   size_t Uploaded_ = 0;
   uint16_t UploadBlock_;
+  std::string RequestTag_; ///< RFC 9175, one for each upload.
   // Download: what came so far and of which version it is.
   std::string Body_;
   std::optional<std::string> Etag_;
