--- a/bench/bench.cpp
+++ b/bench/bench.cpp
@@ -12,10 +12,19 @@
     Workload{"observe-event", recordEvents},
     Workload{"observe-counter", updateCounter},
     Workload{"observe-histogram", updateHistogram},
+    Workload{"steer-hit-5000", steerHitFew},
+    Workload{"steer-hit-500000", steerHitMany},
+    Workload{"steer-miss", steerMiss},
+    Workload{"join-moves", joinMoves},
+};
+
+constexpr std::array Measurements = {
+    Measurement{"forward", measureForwarding},
 };
 
 } // namespace
 
 std::span<const Workload> workloads() { return Workloads; }
+std::span<const Measurement> measurements() { return Measurements; }
 
 } // namespace dragonflystall::bench
--- a/bench/bench.h
+++ b/bench/bench.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <span>
+#include <string>
 #include <string_view>
 
 namespace dragonflystall::bench {
@@ -14,6 +15,8 @@
   uint64_t Decisions = 0;
   double Seconds = 0;
   uint64_t Signature = 0;
+  /// A figure beside the speed, such as a comparison with a baseline.
+  std::string Remark = {};
 };
 
 struct Workload {
@@ -24,6 +27,15 @@
 /// All workloads, in the order in which `dragonflystall bench` runs them.
 std::span<const Workload> workloads();
 
+/// A measurement whose result depends on the machine: it runs only by name and
+/// has no part in the signature. Returns whether its target was met.
+struct Measurement {
+  std::string_view Name;
+  bool (*Run)();
+};
+
+std::span<const Measurement> measurements();
+
 /// Mixes a decision into a signature.
 constexpr uint64_t mix(uint64_t Signature, uint64_t Decision) {
   return (Signature ^ Decision) * 0x9e3779b97f4a7c15ULL + 1;
@@ -35,6 +47,13 @@
 Outcome recordEvents();
 Outcome updateCounter();
 Outcome updateHistogram();
+// bench/steerbench.cpp
+Outcome steerHitFew();
+Outcome steerHitMany();
+Outcome steerMiss();
+Outcome joinMoves();
+// bench/forwardbench.cpp
+bool measureForwarding();
 
 } // namespace dragonflystall::bench
 
--- /dev/null
+++ b/bench/steerbench.cpp
@@ -0,0 +1,172 @@
+// How fast the balancer's core steers, and how many flows change their home
+// when an agent joins.
+#include "bench.h"
+
+#include "steering/balancercore.h"
+
+#include <algorithm>
+#include <chrono>
+#include <fmt/format.h>
+#include <random>
+#include <vector>
+
+namespace dragonflystall::bench {
+
+namespace {
+
+constexpr uint32_t AgentCount = 10;
+constexpr uint32_t FewFlows = 5'000;
+constexpr uint32_t ManyFlows = 500'000;
+constexpr uint32_t Decisions = 5'000'000;
+/// As many packets as one system call brings in.
+constexpr size_t BatchSize = 64;
+const Endpoint ServiceAddress{0x7f016401, 5683};
+const TimePoint Now{1s};
+
+RosterEntry agentNumber(uint32_t Number) {
+  RosterEntry Entry;
+  Entry.Name = fmt::format("agent-{}", Number);
+  Entry.Agent = {agentId(Entry.Name), Incarnation{1}};
+  Entry.Zone = "zone";
+  Entry.Data = {0x7f01010a + Number, 7000};
+  return Entry;
+}
+
+Roster rosterOf(uint32_t Count) {
+  Roster Result;
+  Result.Service = serviceId("team", "service");
+  Result.Version = 1;
+  for (uint32_t I = 0; I < Count; ++I)
+    upsert(Result, agentNumber(I));
+  return Result;
+}
+
+SettingsPtr oneService() {
+  auto Result = std::make_shared<Settings>();
+  ServiceSettings Service;
+  Service.Id = serviceId("team", "service");
+  Service.Addresses = {ServiceAddress};
+  Result->Version = 1;
+  Result->Services = {Service};
+  Result->Zones = {{"zone", false, {Network{0x7f010100, 24}}}};
+  return Result;
+}
+
+Endpoint callerNumber(uint32_t Number) {
+  return {0x0a000000 + (Number >> 12),
+          static_cast<uint16_t>(1024 + (Number & 0xfff))};
+}
+
+void prepare(BalancerCore &Core) {
+  BalancerActions Ignored;
+  Core.handle(SettingsUpdate{oneService()}, Now, Ignored);
+  Core.handle(RosterUpdate{rosterOf(AgentCount)}, Now, Ignored);
+}
+
+/// An answer for each flow, so that the core knows its holder.
+void learnFlows(BalancerCore &Core, uint32_t Flows) {
+  const Roster Agents = rosterOf(AgentCount);
+  BalancerActions Ignored;
+  for (uint32_t I = 0; I < Flows; ++I) {
+    const RosterEntry &Holder = Agents.Agents[I % AgentCount];
+    PacketHeader Header;
+    Header.Kind = PacketKind::Reply;
+    Header.Service = Agents.Service;
+    Header.ServiceAddress = ServiceAddress;
+    Header.Caller = callerNumber(I);
+    Header.RosterVersion = 1;
+    Header.Holder = Holder.Agent.Id;
+    Ignored.clear();
+    Core.handle(InternalPacket{Holder.Data, Header, "x"}, Now, Ignored);
+  }
+}
+
+/// One packet of each flow, in random order.
+std::vector<CallerPacket> packetsOf(uint32_t Flows) {
+  std::vector<CallerPacket> Packets;
+  for (uint32_t I = 0; I < Flows; ++I)
+    Packets.push_back({callerNumber(I), ServiceAddress, {}});
+  std::shuffle(Packets.begin(), Packets.end(), std::mt19937_64(1));
+  return Packets;
+}
+
+/// Steers packets batch by batch, as the daemon does.
+Outcome steerAll(BalancerCore &Core, const std::vector<CallerPacket> &Packets) {
+  Outcome Result;
+  const auto Start = std::chrono::steady_clock::now();
+  while (Result.Decisions < Decisions) {
+    for (size_t First = 0; First < Packets.size(); First += BatchSize) {
+      const size_t Last = std::min(First + BatchSize, Packets.size());
+      for (size_t I = First; I < Last; ++I)
+        Core.prefetch(Packets[I]);
+      for (size_t I = First; I < Last; ++I)
+        Result.Signature =
+            mix(Result.Signature, Core.steer(Packets[I], Now).To.Ip);
+    }
+    Result.Decisions += Packets.size();
+  }
+  const std::chrono::duration<double> Took =
+      std::chrono::steady_clock::now() - Start;
+  Result.Seconds = Took.count();
+  return Result;
+}
+
+Outcome steerHit(uint32_t Flows) {
+  BalancerCore Core({"zone", {0x7f010101, 7000}, ManyFlows});
+  prepare(Core);
+  learnFlows(Core, Flows);
+  Outcome Result = steerAll(Core, packetsOf(Flows));
+  Result.Remark = fmt::format("{} flows, {} bytes a flow", Core.cachedFlows(),
+                              Core.cacheBytes() / ManyFlows);
+  return Result;
+}
+
+/// How many of the flows go to another agent after one more joined.
+template <typename ChooseT> uint32_t movedFlows(ChooseT Choose) {
+  const Roster Before = rosterOf(AgentCount);
+  const Roster After = rosterOf(AgentCount + 1);
+  uint32_t Moved = 0;
+  for (uint32_t I = 0; I < ManyFlows; ++I) {
+    const FlowKey Flow{Before.Service, callerNumber(I)};
+    Moved += Choose(Before, Flow) != Choose(After, Flow);
+  }
+  return Moved;
+}
+
+AgentId byRendezvous(const Roster &Agents, const FlowKey &Flow) {
+  return homeOf(Agents, Flow, [](const RosterEntry &) { return true; })
+      ->Agent.Id;
+}
+
+AgentId byModulo(const Roster &Agents, const FlowKey &Flow) {
+  return Agents.Agents[hashFlow(Flow) % Agents.Agents.size()].Agent.Id;
+}
+
+} // namespace
+
+Outcome steerHitFew() { return steerHit(FewFlows); }
+Outcome steerHitMany() { return steerHit(ManyFlows); }
+
+Outcome steerMiss() {
+  BalancerCore Core({"zone", {0x7f010101, 7000}, ManyFlows});
+  prepare(Core);
+  return steerAll(Core, packetsOf(ManyFlows));
+}
+
+Outcome joinMoves() {
+  Outcome Result;
+  const auto Start = std::chrono::steady_clock::now();
+  const uint32_t Rendezvous = movedFlows(byRendezvous);
+  const std::chrono::duration<double> Took =
+      std::chrono::steady_clock::now() - Start;
+  const uint32_t Modulo = movedFlows(byModulo);
+  Result.Decisions = 2 * ManyFlows;
+  Result.Seconds = Took.count();
+  Result.Signature = mix(Rendezvous, Modulo);
+  Result.Remark = fmt::format(
+      "{:.1f}% of flows get a new home when an agent joins 10, modulo {:.1f}%",
+      100.0 * Rendezvous / ManyFlows, 100.0 * Modulo / ManyFlows);
+  return Result;
+}
+
+} // namespace dragonflystall::bench
--- a/src/steering/balancercore_test.cpp
+++ b/src/steering/balancercore_test.cpp
@@ -123,9 +123,11 @@
   InForce.Version = 2;
   InForce.Zones[1].Out = true;
   give(update(InForce));
-  RosterEntry Liar = agent(1, 10);
-  Liar.Zone = zoneName(0);
-  give(RosterUpdate{roster("tags", 2, {Liar})});
+  RosterEntry Inside = agent(1, 10);
+  Inside.Zone = zoneName(0);
+  RosterEntry Outside = agent(0, 10);
+  Outside.Zone = zoneName(1);
+  give(RosterUpdate{roster("tags", 2, {Inside, Outside})});
   EXPECT_EQ(sent(callerAddress(1)), Endpoint());
 }
 
