Add the balancer's daemon

The daemon joins the forwarding path with the platform, the settings, the exchange with peers and the administration API. A stopping balancer is not ready, forwards on until no packet came for a second, and exits.

--- /dev/null
+++ b/src/steering/balancerdaemon.cpp
@@ -0,0 +1,280 @@
+// Settings, rosters and peers of a balancer, its start and its shutdown.
+#include "balancerdaemon.h"
+
+#include "steering/balancerstatus.h"
+#include "wire/convert.h"
+
+#include <algorithm>
+#include <random>
+
+namespace dragonflystall {
+
+namespace {
+
+constexpr Duration TickPeriod = 50ms;
+constexpr Duration GossipPeriod = 1s;
+constexpr Duration PublishPeriod = 200ms;
+constexpr size_t TimelineCapacity = 8192; // events
+/// A stopping balancer goes on until no packet came for a while, so that
+/// answers to what it forwarded still find their callers.
+constexpr Duration StopQuietTime = 1s;
+constexpr Duration StopTimeout = 10s;
+
+uint64_t randomBits() {
+  std::random_device Source;
+  return (uint64_t{Source()} << 32) | Source();
+}
+
+} // namespace
+
+BalancerDaemon::BalancerDaemon(const HostSettings &Host)
+    : Host_(Host), Self_{agentId(Host.Name), Incarnation{randomBits()}},
+      Random_(randomBits()), Timeline_(Host.Name, TimelineCapacity),
+      Forwarder_(Loop_, BalancerIdentity{Host.Zone, Host.Data},
+                 {[this](const WantRoster &Wanted) { onWantRoster(Wanted); },
+                  [this](const Event &What) { record(What); }}),
+      Exchange_(View_, Self_, Host.Control, randomBits()),
+      Filter_(Host.Peers, Host.Zone) {}
+
+BalancerDaemon::~BalancerDaemon() = default;
+
+tl::expected<void, std::string> BalancerDaemon::start() {
+  Loop_.onStopSignal([this] { onStop(); });
+  auto Bus = ControlBus::bind(Host_.Control);
+  if (!Bus)
+    return tl::unexpected("control port: " + Bus.error());
+  Bus_ = std::move(*Bus);
+  if (auto Opened = openForwarder(); !Opened)
+    return Opened;
+  if (auto Started = startAdmin(); !Started)
+    return Started;
+  startPlatform();
+  return {};
+}
+
+tl::expected<void, std::string> BalancerDaemon::openForwarder() {
+  if (auto Opened = Forwarder_.openData(); !Opened)
+    return tl::unexpected("data port: " + Opened.error());
+  if (Host_.Mode != EntryMode::Proxy)
+    return {};
+  if (auto Opened = Forwarder_.entry().openProxy(Host_.Entry); !Opened)
+    return tl::unexpected("entry port: " + Opened.error());
+  return {};
+}
+
+tl::expected<void, std::string> BalancerDaemon::startAdmin() {
+  AdminHandlers Handlers;
+  Handlers.Ready = [this] {
+    const std::lock_guard Lock(PublishedMutex_);
+    return PublishedReady_;
+  };
+  Handlers.StatusJson = [this] {
+    const std::lock_guard Lock(PublishedMutex_);
+    return PublishedStatus_;
+  };
+  Handlers.MetricsText = [this] {
+    const std::lock_guard Lock(PublishedMutex_);
+    return PublishedMetrics_;
+  };
+  Handlers.TimelineJson = [this](uint64_t Since) {
+    return Timeline_.snapshotJson(Since);
+  };
+  auto Admin = AdminServer::start(Host_.Admin, std::move(Handlers));
+  if (!Admin)
+    return tl::unexpected("admin port: " + Admin.error());
+  Admin_ = std::move(*Admin);
+  return {};
+}
+
+void BalancerDaemon::startPlatform() {
+  PlatformLink::Listener Listener;
+  Listener.Post = [this](std::function<void()> Task) {
+    Loop_.post(std::move(Task));
+  };
+  Listener.OnSettings = [this](const std::vector<StoredObject> &Objects) {
+    onSettings(Objects);
+  };
+  Listener.OnRoster = [this](Roster Value) {
+    Forwarder_.handle(RosterUpdate{std::move(Value)});
+  };
+  Listener.OnRosterWritten = [](const RosterWritten &) {};
+  Listener.OnEvent = [this](const Event &What) { record(What); };
+  Link_ = std::make_unique<PlatformLink>(Host_.Platform, Host_.Name,
+                                         std::move(Listener));
+}
+
+void BalancerDaemon::run() {
+  Loop_.watch(Bus_->descriptor(), [this] {
+    Bus_->receive(
+        [this](uint32_t FromIp,
+               const std::shared_ptr<const wire::ControlMessage> &Value) {
+          onControl(FromIp, *Value);
+        });
+  });
+  Loop_.every(TickPeriod, [this] { onTick(); });
+  Loop_.every(GossipPeriod, [this] { gossip(); });
+  Loop_.every(PublishPeriod, [this] { publish(); });
+  Event Started;
+  Started.Kind = EventKind::Started;
+  Started.Value = static_cast<uint64_t>(Self_.Start);
+  record(Started);
+  Loop_.run();
+}
+
+// Peers know a roster when the platform is down, and often before it.
+void BalancerDaemon::onWantRoster(const WantRoster &Wanted) {
+  const ServiceSettings *Service = View_.current()->service(Wanted.Service);
+  if (!Service)
+    return;
+  Link_->wantRoster(Service->Team, Service->Name, Wanted.KnownVersion);
+  const Roster *Known = Forwarder_.core().roster(Wanted.Service);
+  wire::ControlMessage Message = envelope(Wanted.Service);
+  Message.mutable_roster_pull()->set_service(
+      static_cast<uint64_t>(Wanted.Service));
+  Message.mutable_roster_pull()->set_known_version(Known ? Known->Version : 0);
+  if (Known && !Known->Agents.empty()) {
+    send(Known->Agents[Random_() % Known->Agents.size()].Control, Message);
+    return;
+  }
+  for (Endpoint Peer : Host_.Peers)
+    send(Peer, Message);
+}
+
+void BalancerDaemon::record(const Event &What) {
+  Timeline_.record(Clock_.wallTime(), What);
+}
+
+void BalancerDaemon::onControl(uint32_t FromIp,
+                               const wire::ControlMessage &Value) {
+  if (!Filter_.allows(FromIp)) {
+    ++ForeignMessages_;
+    return;
+  }
+  Timeline_.clock().observe(Value.hlc());
+  if (Value.has_roster_pull()) {
+    onRosterPull(Value);
+    return;
+  }
+  if (Value.has_roster_push()) {
+    if (auto Pushed = wire::fromWire(Value.roster_push().roster()))
+      Forwarder_.handle(RosterUpdate{std::move(*Pushed)});
+    return;
+  }
+  std::vector<Event> Events;
+  const auto Reply = [this](Endpoint To, const wire::ControlMessage &Answer) {
+    send(To, Answer);
+  };
+  if (Exchange_.onPeer(Value, Reply, Events))
+    settingsChanged(Events);
+}
+
+void BalancerDaemon::onRosterPull(const wire::ControlMessage &Value) {
+  const ServiceId Service{Value.roster_pull().service()};
+  const Roster *Known = Forwarder_.core().roster(Service);
+  const auto To = wire::fromWire(Value.reply_to());
+  if (!Known || !To || Known->Version <= Value.roster_pull().known_version())
+    return;
+  wire::ControlMessage Answer = envelope(Service);
+  *Answer.mutable_roster_push()->mutable_roster() = wire::toWire(*Known);
+  send(*To, Answer);
+}
+
+wire::ControlMessage BalancerDaemon::envelope(ServiceId Service) const {
+  wire::ControlMessage Message;
+  *Message.mutable_sender() = wire::toWire(Self_);
+  *Message.mutable_reply_to() = wire::toWire(Host_.Control);
+  Message.set_service(static_cast<uint64_t>(Service));
+  if (const Roster *Known = Forwarder_.core().roster(Service))
+    Message.set_roster_version(Known->Version);
+  return Message;
+}
+
+void BalancerDaemon::send(Endpoint To, const wire::ControlMessage &Value) {
+  if (!Filter_.allows(To.Ip))
+    return;
+  wire::ControlMessage Stamped = Value;
+  Stamped.set_hlc(Timeline_.clock().stamp(Clock_.wallTime()));
+  Stamped.set_settings_version(View_.version());
+  Bus_->send(To, Stamped);
+}
+
+void BalancerDaemon::onSettings(const std::vector<StoredObject> &Objects) {
+  const SettingsPtr Before = View_.current();
+  const std::vector<Event> Events = View_.merge(Objects);
+  if (View_.current() != Before)
+    settingsChanged(Events);
+}
+
+void BalancerDaemon::settingsChanged(const std::vector<Event> &Events) {
+  for (const Event &What : Events)
+    record(What);
+  Filter_.update(View_.current());
+  if (Host_.Mode == EntryMode::Direct)
+    Forwarder_.entry().bindServices(*View_.current());
+  Forwarder_.handle(SettingsUpdate{View_.current()});
+}
+
+// As many agents as configured peers, so that an exchange reaches either kind.
+std::vector<Endpoint> BalancerDaemon::gossipPeers() {
+  std::vector<Endpoint> Peers = Host_.Peers;
+  for (size_t I = 0; I <= Host_.Peers.size(); ++I)
+    if (auto Drawn = Forwarder_.core().drawPeer(Random_()))
+      Peers.push_back(*Drawn);
+  return Peers;
+}
+
+void BalancerDaemon::gossip() {
+  Exchange_.tick(gossipPeers(),
+                 [this](Endpoint To, const wire::ControlMessage &Value) {
+                   send(To, Value);
+                 });
+  Bus_->tick(Clock_.now());
+}
+
+void BalancerDaemon::onStop() {
+  if (StoppingSince_) {
+    Loop_.stop(); // The second signal: at once.
+    return;
+  }
+  StoppingSince_ = Clock_.now();
+  Event Stopping;
+  Stopping.Kind = EventKind::Stopping;
+  record(Stopping);
+  publish();
+}
+
+void BalancerDaemon::onTick() {
+  Forwarder_.handle(Tick{});
+  if (!StoppingSince_)
+    return;
+  const TimePoint Now = Clock_.now();
+  const TimePoint LastUse = std::max(Forwarder_.lastPacket(), *StoppingSince_);
+  if (Now - LastUse >= StopQuietTime || Now - *StoppingSince_ >= StopTimeout)
+    Loop_.stop();
+}
+
+void BalancerDaemon::publish() {
+  BalancerStatus Status;
+  Status.Name = Host_.Name;
+  Status.Zone = Host_.Zone;
+  Status.Stopping = StoppingSince_.has_value();
+  Status.SettingsSeen = View_.version();
+  Status.RefusedSettings = View_.refused();
+  Status.PlatformDown = Link_->down();
+  Status.PlatformCalls = Link_->calls();
+  Status.ControlBytesSent = Bus_->bytesSent();
+  Status.ControlBytesReceived = Bus_->bytesReceived();
+  Status.ControlDropped = Bus_->dropped();
+  Status.MalformedPackets = Forwarder_.malformed();
+  Status.MalformedMessages = Bus_->malformed();
+  Status.ForeignMessages = ForeignMessages_;
+  Status.UnsentPackets = Forwarder_.unsent();
+  std::string Json = statusJson(Status, Forwarder_.core());
+  std::string Metrics = metricsText(Status, Forwarder_.core());
+  const std::lock_guard Lock(PublishedMutex_);
+  PublishedStatus_ = std::move(Json);
+  PublishedMetrics_ = std::move(Metrics);
+  PublishedReady_ = Forwarder_.core().ready() && !StoppingSince_;
+}
+
+} // namespace dragonflystall
--- /dev/null
+++ b/src/steering/balancerdaemon.h
@@ -0,0 +1,79 @@
+// The balancer's shell: its control side, the platform and the clock round the
+// forwarding path. All state belongs to the loop's thread.
+#ifndef DRAGONFLYSTALL_SRC_STEERING_BALANCERDAEMON_H
+#define DRAGONFLYSTALL_SRC_STEERING_BALANCERDAEMON_H
+
+#include "observe/admin.h"
+#include "observe/timeline.h"
+#include "platform/link.h"
+#include "settings/exchange.h"
+#include "settings/hostsettings.h"
+#include "settings/peerfilter.h"
+#include "shell/controlbus.h"
+#include "shell/loop.h"
+#include "steering/forwarder.h"
+
+#include <memory>
+#include <mutex>
+#include <string>
+#include <tl/expected.hpp>
+
+namespace dragonflystall {
+
+class BalancerDaemon {
+public:
+  explicit BalancerDaemon(const HostSettings &Host);
+  ~BalancerDaemon();
+
+  /// Binds the sockets and connects; the error names what failed.
+  tl::expected<void, std::string> start();
+  /// Returns when a graceful shutdown is complete.
+  void run();
+
+private:
+  tl::expected<void, std::string> openForwarder();
+  tl::expected<void, std::string> startAdmin();
+  void startPlatform();
+
+  void onWantRoster(const WantRoster &Wanted);
+  void onControl(uint32_t FromIp, const wire::ControlMessage &Value);
+  void onRosterPull(const wire::ControlMessage &Value);
+  void onSettings(const std::vector<StoredObject> &Objects);
+  void settingsChanged(const std::vector<Event> &Events);
+  void record(const Event &What);
+  void send(Endpoint To, const wire::ControlMessage &Value);
+  wire::ControlMessage envelope(ServiceId Service) const;
+  std::vector<Endpoint> gossipPeers();
+  void gossip();
+  void onTick();
+  void onStop();
+  void publish();
+
+  HostSettings Host_;
+  SystemClock Clock_;
+  AgentRef Self_;
+  Random Random_;
+  Loop Loop_;
+  Timeline Timeline_;
+  Forwarder Forwarder_;
+  SettingsView View_;
+  SettingsExchange Exchange_;
+  PeerFilter Filter_;
+  std::unique_ptr<ControlBus> Bus_;
+  uint64_t ForeignMessages_ = 0;
+  /// Set when a graceful shutdown began.
+  std::optional<TimePoint> StoppingSince_;
+
+  mutable std::mutex PublishedMutex_;
+  std::string PublishedStatus_;  ///< Guarded by PublishedMutex_.
+  std::string PublishedMetrics_; ///< Guarded by PublishedMutex_.
+  bool PublishedReady_ = false;  ///< Guarded by PublishedMutex_.
+
+  // Their threads use what stands above: they end first.
+  std::unique_ptr<PlatformLink> Link_;
+  std::unique_ptr<AdminServer> Admin_;
+};
+
+} // namespace dragonflystall
+
+#endif
