--- /dev/null
+++ b/src/agent/agentcore_test.cpp
@@ -0,0 +1,227 @@
+// What callers notice when agents, balancers, zones and the store fail. The
+// promises on verdicts are asserted inside the world at every step.
+#include "testworld.h"
+
+#include <cstdlib>
+#include <gtest/gtest.h>
+
+namespace dragonflystall::test {
+namespace {
+
+constexpr Duration Settle = 8s;
+constexpr Duration Finish = 40s; // Longer than any call may take.
+
+uint64_t fromEnvironment(const char *Name, uint64_t Default) {
+  const char *Text = std::getenv(Name);
+  return Text ? std::strtoull(Text, nullptr, 10) : Default;
+}
+
+WorldOptions options(uint64_t Seed) {
+  WorldOptions Options;
+  Options.Seed = Seed;
+  return Options;
+}
+
+/// Every call since the last look ended with an answer.
+void expectAllRan(World &W, const char *Phase) {
+  const Tally Sum = W.recent();
+  EXPECT_EQ(Sum.Ran, Sum.Calls)
+      << Phase << ": not run " << Sum.NotRun << ", may have run "
+      << Sum.MayHaveRun << ", pending " << Sum.Pending;
+}
+
+TEST(AgentCore, QuietRunAnswersEveryCall) {
+  World W(options(1));
+  W.run(Settle);
+  W.load(20s, 10ms, 30);
+  W.run(Finish);
+  W.verify();
+  expectAllRan(W, "quiet");
+}
+
+TEST(AgentCore, PlannedStopBreaksNothing) {
+  World W(options(2));
+  W.run(Settle);
+  W.load(5s, 10ms, 30);
+  W.stop(0);
+  W.load(10s, 10ms, 30);
+  W.run(Finish);
+  W.verify();
+  EXPECT_TRUE(W.stopped(0));
+  expectAllRan(W, "planned stop");
+}
+
+TEST(AgentCore, RollingRestartBreaksNothing) {
+  World W(options(3));
+  W.run(Settle);
+  for (size_t I = 0; I < W.agents(); ++I) {
+    W.stop(I);
+    W.load(8s, 20ms, 30);
+    ASSERT_TRUE(W.stopped(I)) << I;
+    W.restart(I);
+    W.load(8s, 20ms, 30);
+  }
+  W.run(Finish);
+  W.verify();
+  expectAllRan(W, "rolling restart");
+}
+
+TEST(AgentCore, BalancersMayDie) {
+  World W(options(4));
+  W.run(Settle);
+  W.load(3s, 10ms, 30);
+  W.killBalancer(0);
+  W.load(10s, 10ms, 30);
+  W.run(Finish);
+  W.verify();
+  const Tally Sum = W.recent();
+  EXPECT_EQ(Sum.MayHaveRun, 0U);
+  EXPECT_EQ(Sum.Pending, 0U);
+}
+
+TEST(AgentCore, KilledAgentLosesOnlyItsOwnCalls) {
+  World W(options(5));
+  W.run(Settle);
+  W.load(3s, 10ms, 30);
+  W.recent();
+  W.kill(1);
+  W.load(10s, 10ms, 30);
+  W.run(Finish);
+  W.verify();
+  const Tally Sum = W.recent();
+  EXPECT_EQ(Sum.Pending, 0U);
+  EXPECT_LT(Sum.MayHaveRun, Sum.Calls / 6);
+  W.load(5s, 10ms, 30);
+  W.run(Finish);
+  expectAllRan(W, "after the removal");
+}
+
+TEST(AgentCore, PausedAgentHarmsNothingWhenItWakes) {
+  World W(options(6));
+  W.run(Settle);
+  W.load(3s, 10ms, 50);
+  W.pause(2, true);
+  W.load(30s, 20ms, 50);
+  W.pause(2, false);
+  W.load(10s, 20ms, 50);
+  W.run(Finish);
+  W.verify();
+  W.recent();
+  W.load(5s, 10ms, 30);
+  W.run(Finish);
+  W.verify();
+  expectAllRan(W, "after it rejoined");
+}
+
+TEST(AgentCore, ZoneOutGetsNothingAndTheOthersServe) {
+  World W(options(7));
+  W.run(Settle);
+  W.load(3s, 10ms, 30);
+  W.recent();
+  W.setZone("zone-1", true);
+  W.run(3s);
+  const unsigned Before = W.runsIn("zone-1");
+  W.load(10s, 10ms, 30);
+  EXPECT_EQ(W.runsIn("zone-1"), Before);
+  W.run(Finish);
+  W.verify();
+  W.recent();
+  W.setZone("zone-1", false);
+  W.run(Settle);
+  W.addFlows(20);
+  W.load(20s, 10ms, 30);
+  W.run(Finish);
+  W.verify();
+  expectAllRan(W, "zone back");
+  EXPECT_GT(W.runsIn("zone-1"), 0U);
+}
+
+TEST(AgentCore, StoreOutageStopsNoTraffic) {
+  World W(options(8));
+  W.run(Settle);
+  W.storeDown(true);
+  W.load(30s, 10ms, 30);
+  W.kill(3);
+  W.restart(3);
+  W.load(30s, 20ms, 30);
+  W.storeDown(false);
+  W.run(Settle);
+  W.verify();
+  W.recent();
+  W.load(10s, 10ms, 30);
+  W.run(Finish);
+  W.verify();
+  expectAllRan(W, "store back");
+}
+
+// Everything at once, with seeds that a long run can move on.
+TEST(AgentCore, RandomFaultsKeepEveryVerdictTrue) {
+  const uint64_t First = fromEnvironment("DRAGONFLYSTALL_SEED", 100);
+  const uint64_t Runs = fromEnvironment("DRAGONFLYSTALL_RUNS", 4);
+  uint64_t Events = 0;
+  for (uint64_t Seed = First; Seed < First + Runs; ++Seed) {
+    SCOPED_TRACE(Seed);
+    WorldOptions Options = options(Seed);
+    Options.Wires = {0.02, 0.05, 30ms};
+    World W(Options);
+    Random Choice(Seed);
+    W.run(Settle);
+    for (unsigned Round = 0; Round < 12; ++Round) {
+      const size_t Agent = Choice() % W.agents();
+      switch (Choice() % 9) {
+      case 0:
+        W.kill(Agent);
+        W.load(2s, 20ms, 50);
+        W.restart(Agent);
+        break;
+      case 1:
+        W.pause(Agent, true);
+        W.load(std::chrono::seconds(1 + Choice() % 20), 20ms, 50);
+        W.pause(Agent, false);
+        break;
+      case 2:
+        W.stop(Agent);
+        W.load(6s, 20ms, 50);
+        W.restart(Agent);
+        break;
+      case 3:
+        W.setZone("zone-2", true);
+        W.load(5s, 20ms, 50);
+        W.setZone("zone-2", false);
+        break;
+      case 4:
+        W.storeDown(true);
+        W.load(5s, 20ms, 50);
+        W.storeDown(false);
+        break;
+      case 5:
+        W.loseAnswers(2);
+        break;
+      case 6:
+        W.setCold(Agent, 400ms);
+        W.load(3s, 20ms, 50);
+        W.setCold(Agent, 10ms);
+        break;
+      case 7:
+        W.stop(Agent);
+        W.load(200ms, 20ms, 50);
+        W.kill((Agent + 1) % W.agents());
+        W.load(4s, 20ms, 50);
+        W.restart(Agent);
+        W.restart((Agent + 1) % W.agents());
+        break;
+      default:
+        W.load(3s, 10ms, 50);
+      }
+      W.verify();
+    }
+    W.run(Finish);
+    W.verify();
+    EXPECT_EQ(W.tally().Pending, 0U);
+    Events += W.events();
+  }
+  RecordProperty("events", std::to_string(Events));
+}
+
+} // namespace
+} // namespace dragonflystall::test
