Apply deployment files by conditional updates

A deployment file names platform keys and values. apply checks all of it against what is stored, shows the difference, and writes key by key; a lost answer is resolved by the writer's mark. The link's core decides when to call the platform, its threads make the calls.

--- a/cli/command.h
+++ b/cli/command.h
@@ -26,6 +26,8 @@
   int (*Run)(const Arguments &Args);
 };
 
+// cli/applycommand.cpp
+int runApply(const Arguments &Args);
 // cli/benchcommand.cpp
 int runBench(const Arguments &Args);
 // cli/callcommand.cpp
--- a/cli/main.cpp
+++ b/cli/main.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::array Commands = {
+    Command{"apply", "store settings on the platform", runApply},
     Command{"bench", "run the deterministic workloads", runBench},
     Command{"call", "send one request and print its verdict", runCallCommand},
 };
--- a/src/platform/client.cpp
+++ b/src/platform/client.cpp
@@ -76,14 +76,14 @@
   httplib::Client &Client = State_->Client;
   Client.set_keep_alive(true);
   Client.set_tcp_nodelay(true);
-  Client.set_connection_timeout(CallTimeout);
-  Client.set_write_timeout(CallTimeout);
+  Client.set_connection_timeout(HttpTimeout);
+  Client.set_write_timeout(HttpTimeout);
 }
 
 HttpStore::~HttpStore() = default;
 
 StoreAnswer HttpStore::call(const StoreCall &Call) {
-  State_->Client.set_read_timeout(Call.Wait + CallTimeout);
+  State_->Client.set_read_timeout(Call.Wait + HttpTimeout);
   const httplib::Result Result = send(State_->Client, Call);
   if (!Result)
     return {.Status = statusOf(Result.error()),
--- a/src/platform/client.h
+++ b/src/platform/client.h
@@ -9,8 +9,9 @@
 
 namespace dragonflystall {
 
-/// How long a call may take, beyond the wait that a watch asks for.
-constexpr Duration CallTimeout = 2s;
+/// How long connecting and writing may each take, and reading beyond the wait
+/// that a watch asks for. Longer than the core waits, which abandons first.
+constexpr Duration HttpTimeout = 4s;
 
 class HttpStore {
 public:
--- /dev/null
+++ b/src/platform/objectwrite.cpp
@@ -0,0 +1,78 @@
+// The steps of a conditional write with re-reads.
+#include "platform/objectwrite.h"
+
+namespace dragonflystall {
+
+StoreCall ObjectWrite::nextCall() const {
+  if (Step_ == Step::Reread)
+    return {.Kind = StoreCallKind::Get, .Key = Write_.Key};
+  return Write_;
+}
+
+std::optional<WriteResult> ObjectWrite::onAnswer(const StoreAnswer &Answer,
+                                                 TimePoint Now) {
+  return Step_ == Step::Write ? onWrite(Answer, Now) : onReread(Answer, Now);
+}
+
+std::optional<WriteResult> ObjectWrite::onWrite(const StoreAnswer &Answer,
+                                                TimePoint Now) {
+  switch (Answer.Status) {
+  case StoreStatus::Done:
+    return written(Answer.Revision);
+  case StoreStatus::Busy:
+  case StoreStatus::NotSent:
+    return unknownIfLate(Answer, Now); // Nothing was done: write again.
+  case StoreStatus::Forbidden:
+  case StoreStatus::Invalid:
+    return WriteResult{.Outcome = WriteOutcome::Refused,
+                       .Detail = Answer.Detail};
+  case StoreStatus::Absent:
+  case StoreStatus::Conflict:
+  case StoreStatus::Lost:
+    // A conflict may be with an earlier attempt of this very write.
+    Step_ = Step::Reread;
+    return std::nullopt;
+  }
+  return std::nullopt;
+}
+
+std::optional<WriteResult> ObjectWrite::onReread(const StoreAnswer &Answer,
+                                                 TimePoint Now) {
+  if (Answer.Status != StoreStatus::Done &&
+      Answer.Status != StoreStatus::Absent)
+    return unknownIfLate(Answer, Now);
+  StoredObject Stored;
+  if (!Answer.Objects.empty())
+    Stored = Answer.Objects.front();
+  if (Stored.Version != 0 && Stored.Writer == Write_.Writer)
+    return written(Stored.Version);
+  if (Stored.Deleted)
+    Stored = StoredObject();
+  Stored.Key = Write_.Key;
+  if (Stored.Version != Write_.Version)
+    return WriteResult{.Outcome = WriteOutcome::Conflict,
+                       .Stored = std::move(Stored)};
+  if (Now >= GiveUp_)
+    return WriteResult{.Outcome = WriteOutcome::Unknown,
+                       .Stored = std::move(Stored)};
+  // Not in effect yet. Should the first attempt still arrive, the expected
+  // version lets only one of the two through, and the mark tells.
+  Step_ = Step::Write;
+  return std::nullopt;
+}
+
+WriteResult ObjectWrite::written(uint64_t Version) const {
+  const bool Deleted = Write_.Kind == StoreCallKind::Delete;
+  return {.Outcome = WriteOutcome::Written,
+          .Stored = StoredObject{Write_.Key, Version, Write_.Value, Deleted,
+                                 Write_.Writer}};
+}
+
+std::optional<WriteResult> ObjectWrite::unknownIfLate(const StoreAnswer &Answer,
+                                                      TimePoint Now) const {
+  if (Now < GiveUp_)
+    return std::nullopt;
+  return WriteResult{.Outcome = WriteOutcome::Unknown, .Detail = Answer.Detail};
+}
+
+} // namespace dragonflystall
--- a/src/settings/assemble.cpp
+++ b/src/settings/assemble.cpp
@@ -29,7 +29,8 @@
 
 class Assembler {
 public:
-  explicit Assembler(const SettingsEntries &Entries) : Entries_(Entries) {}
+  Assembler(const SettingsEntries &Entries, ZoneCheck Zones)
+      : Entries_(Entries), Zones_(Zones) {}
   Assembly run();
 
 private:
@@ -46,6 +47,7 @@
   Assembly collect() const;
 
   const SettingsEntries &Entries_;
+  ZoneCheck Zones_;
   /// What is in force, by key.
   std::map<std::string_view, const SettingsObject *> Accepted_;
   std::unordered_map<Endpoint, const std::string *, EndpointHash> Addresses_;
@@ -139,7 +141,7 @@
 bool Assembler::zoneKnown(const std::string &Name,
                           uint64_t ServiceVersion) const {
   const std::string Key = zoneKey(Name);
-  if (Accepted_.contains(Key))
+  if (Zones_ == ZoneCheck::None || Accepted_.contains(Key))
     return true;
   const auto It = Entries_.find(Key);
   if (It == Entries_.end())
@@ -202,8 +204,8 @@
 
 } // namespace
 
-Assembly assemble(const SettingsEntries &Entries) {
-  return Assembler(Entries).run();
+Assembly assemble(const SettingsEntries &Entries, ZoneCheck Zones) {
+  return Assembler(Entries, Zones).run();
 }
 
 } // namespace dragonflystall
--- a/src/settings/assemble.h
+++ b/src/settings/assemble.h
@@ -25,9 +25,15 @@
   std::map<std::string, SettingErrors> Refused;
 };
 
+enum class ZoneCheck : uint8_t {
+  Strict, ///< A service may only name zones that exist.
+  None,   ///< The zones are not at hand.
+};
+
 /// Depends on the entries alone, not on the order in which they came. Where
 /// two objects clash, the older version stays.
-Assembly assemble(const SettingsEntries &Entries);
+Assembly assemble(const SettingsEntries &Entries,
+                  ZoneCheck Zones = ZoneCheck::Strict);
 
 } // namespace dragonflystall
 
