--- a/cli/command.h
+++ b/cli/command.h
@@ -32,6 +32,8 @@
 int runBench(const Arguments &Args);
 // cli/callcommand.cpp
 int runCallCommand(const Arguments &Args);
+// cli/loadcommand.cpp
+int runLoadCommand(const Arguments &Args);
 
 } // namespace dragonflystall::cli
 
--- a/cli/main.cpp
+++ b/cli/main.cpp
@@ -13,6 +13,7 @@
     Command{"apply", "store settings on the platform", runApply},
     Command{"bench", "run the deterministic workloads", runBench},
     Command{"call", "send one request and print its verdict", runCallCommand},
+    Command{"load", "drive many flows and report", runLoadCommand},
 };
 
 void printCommands() {
