--- a/src/caller/exchange.cpp
+++ b/src/caller/exchange.cpp
@@ -59,9 +59,9 @@
   if (What_.Body.size() <= UploadBlock_)
     return Part;
   Part.RequestTag = RequestTag_;
-  Part.Block1 = Block{static_cast<uint32_t>(Uploaded_ / UploadBlock_),
-                      Uploaded_ + Part.Payload.size() < What_.Body.size(),
-                      UploadBlock_};
+  Part.Block1 =
+      Block{static_cast<uint32_t>(Uploaded_ / UploadBlock_),
+            Uploaded_ + Part.Payload.size() < What_.Body.size(), UploadBlock_};
   return Part;
 }
 
