--- a/src/caller/callerrandom_test.cpp
+++ b/src/caller/callerrandom_test.cpp
@@ -108,7 +108,7 @@
 class RandomRun {
 public:
   explicit RandomRun(uint64_t Seed)
-      : Bits_(Seed), Agent_(Bits_), Flow_(Seed), Loss_(Bits_() % 40) {}
+      : Bits_(Seed), Agent_(Bits_), Flow_(Seed), Loss_(Bits_() % 60) {}
 
   void play(uint32_t Calls) {
     for (uint32_t I = 0; I < Calls; ++I) {
@@ -140,7 +140,8 @@
     What.Path = "/x";
     What.Query = What.Method == Code::Get ? Key : "";
     What.Body = What.Method == Code::Post ? Key : "";
-    What.Timeout = 1s * (1 + Bits_() % 30);
+    // Long enough in some calls for a message to be given up as lost.
+    What.Timeout = 1s * (1 + Bits_() % (chance(30) ? 300 : 30));
     CallerOutput Out;
     const CallId Id = Flow_.start(What, Now_, Out);
     Keys_[Id] = Key;
