Carry bodies in blocks and spill to peers

What the upstream can't bear goes once to a peer with spare, within the retry budget; a silent peer is asked, and leaves a tombstone if it never saw the request.

Tried with coap-client-notls 4.3.1 against one agent: it puts the Echo option behind empty acknowledgements, which were refused as malformed and so made every slow POST's answer be sent again; they are taken now. It fetches later blocks of a GET only if the first one was piggybacked, so a GET is acknowledged after 1.5 s instead of 100 ms.

--- /dev/null
+++ b/src/requests/blockwise.cpp
@@ -0,0 +1,91 @@
+// Bodies of more than one block: uploads are put together before they become
+// a request, later blocks of an answer come from the held one.
+#include "state.h"
+
+namespace dragonflystall {
+
+namespace {
+
+/// For a retry after the agent had no room for the body.
+constexpr Duration UploadRetryAfter = 2s;
+
+Answer answerFor(UploadStep Failed) {
+  switch (Failed) {
+  case UploadStep::TooLarge:
+    return bareAnswer(Code::RequestEntityTooLarge, Verdict::NotRun);
+  case UploadStep::NoRoom:
+    return refusal(Verdict::NotRun, UploadRetryAfter);
+  default:
+    return bareAnswer(Code::RequestEntityIncomplete, Verdict::NotRun);
+  }
+}
+
+} // namespace
+
+/// A ticket is demanded with the first block, so that no body is sent twice
+/// for the lack of it.
+void Requests::State::onUpload(const FlowKey &Flow, const Message &Part,
+                               ReplyTo To, TimePoint Now, AgentActions &Out) {
+  const UploadKey Key = uploadKey(Flow, Part);
+  if (!isIdempotent(Part.Kind)) {
+    const TicketCheck Checked =
+        Tickets.check(Flow, Part.Echo.value_or(""), Now);
+    const bool First = Part.Block1->Number == 0;
+    if ((First && Checked.State != TicketState::Fresh) ||
+        Checked.State == TicketState::Recorded) {
+      onTicketed(Flow, Part, std::move(To), Now, Out);
+      return;
+    }
+  }
+  const UploadStep Step = Bodies.add(Key, Part, Service.MaxBodyBytes, Now);
+  if (Step == UploadStep::More) {
+    // Without a verdict: the request may still run.
+    Message Next;
+    Next.Kind = Code::Continue;
+    send(Flow, To, std::move(Next), Now, Out);
+    return;
+  }
+  Message Whole = Part;
+  Whole.Echo = Bodies.echo(Key);
+  if (Step == UploadStep::Complete) {
+    Whole.Payload = Bodies.take(Key);
+    onWhole(Flow, Whole, std::move(To), Now, Out);
+    return;
+  }
+  Bodies.drop(Key);
+  refuseUpload(Flow, Whole, std::move(To), answerFor(Step), Now, Out);
+}
+
+/// The refusal says "not run", so the ticket is burnt first. Whoever comes
+/// with it again is asked to take a new one.
+void Requests::State::refuseUpload(const FlowKey &Flow, const Message &Request,
+                                   ReplyTo To, Answer Why, TimePoint Now,
+                                   AgentActions &Out) {
+  const TicketCheck Checked = Tickets.check(Flow, *Request.Echo, Now);
+  if (!isIdempotent(Request.Kind) && Checked.State == TicketState::Fresh) {
+    Tickets.use(Flow, Checked);
+    Tickets.settle(Flow, Checked.Id,
+                   bareAnswer(Code::Unauthorized, Verdict::NotRun));
+    Out.emplace_back(requestEvent(EventKind::TicketBurnt, Flow, 0));
+  } else if (!isIdempotent(Request.Kind)) {
+    // Some other request may have used the ticket of this body.
+    Why.Verdict = Verdict::MayHaveRun;
+  }
+  deliver(Flow, std::move(To), Why, false, Now, Out);
+}
+
+/// A later block of an answer: never a reason to run the request again.
+void Requests::State::onLaterBlock(const FlowKey &Flow, const Message &Request,
+                                   ReplyTo To, TimePoint Now,
+                                   AgentActions &Out) {
+  Message Value;
+  if (Answers.cut(To.Asked, *Request.Block2, Now, Value)) {
+    send(Flow, To, std::move(Value), Now, Out);
+    return;
+  }
+  deliver(Flow, std::move(To),
+          bareAnswer(Code::RequestEntityIncomplete, Verdict::MayHaveRun), false,
+          Now, Out);
+}
+
+} // namespace dragonflystall
--- a/src/requests/delivery.cpp
+++ b/src/requests/delivery.cpp
@@ -2,12 +2,21 @@
 // still open, else as a message of their own.
 #include "state.h"
 
+#include <algorithm>
+
 namespace dragonflystall {
 
 namespace {
 
 /// A caller retransmits after 2 s; an acknowledgement well before stops it.
 constexpr Duration AcknowledgeAfter = 100ms;
+/// A stock caller (libcoap 4.3.1) fetches the later blocks of a GET's answer
+/// only if the first came with the acknowledgement, so that waits for longer.
+constexpr Duration AcknowledgeGetAfter = 1500ms;
+
+Duration acknowledgeAfter(Code Method) {
+  return Method == Code::Get ? AcknowledgeGetAfter : AcknowledgeAfter;
+}
 
 } // namespace
 
@@ -15,32 +24,37 @@
                               const Answer &Result, bool WithTicket,
                               TimePoint Now, AgentActions &Out) {
   Message Value;
-  Value.Token = To.Token;
   describe(Result, Value);
-  Value.Block1 = To.Block1;
+  const Block First = To.Block2.value_or(Block());
+  const size_t Size = std::min(First.Size, MaxBlockBytes);
+  if (Result.bytes() > Size) {
+    Answers.hold(To.Asked, Result, Now);
+    Answers.cut(To.Asked, {0, false, static_cast<uint16_t>(Size)}, Now, Value);
+  } else if (Result.Body) {
+    Value.Payload = *Result.Body;
+  }
   if (WithTicket)
     Value.Echo = Tickets.issue(Flow, Service.TicketLifetime, Now);
-  if (Result.Body)
-    Value.Payload = *Result.Body;
+  send(Flow, To, std::move(Value), Now, Out);
+}
+
+/// Addresses the answer, records it for duplicates of its request and sends.
+void Requests::State::send(const FlowKey &Flow, const ReplyTo &To,
+                           Message Value, TimePoint Now, AgentActions &Out) {
   const bool Confirmable = To.Type == MessageType::Confirmable;
-  if (Confirmable && !To.Acknowledged) {
-    Value.Type = MessageType::Acknowledgement;
-    Value.MessageId = To.MessageId;
-  } else {
-    Value.Type =
-        Confirmable ? MessageType::Confirmable : MessageType::NonConfirmable;
-    Value.MessageId = Replies.nextMessageId();
-  }
-  Message Given = Value;
-  if (Confirmable) {
-    Given.Type = MessageType::Acknowledgement;
-    Given.MessageId = To.MessageId;
-  }
-  Recent.finish(Flow, To.Token, To.MessageId, Given);
-  if (Value.Type == MessageType::Confirmable)
-    Replies.sendReliably(To.Header, std::move(Value), Now, Out);
-  else
+  Value.Token = To.Token;
+  Value.Block1 = To.Block1;
+  Value.Type =
+      Confirmable ? MessageType::Acknowledgement : MessageType::NonConfirmable;
+  Value.MessageId = Confirmable ? To.MessageId : Replies.nextMessageId();
+  Recent.finish(Flow, To.Token, To.MessageId, Value);
+  if (!Confirmable || !To.Acknowledged) {
     Replies.send(To.Header, std::move(Value), Out);
+    return;
+  }
+  Value.Type = MessageType::Confirmable;
+  Value.MessageId = Replies.nextMessageId();
+  Replies.sendReliably(To.Header, std::move(Value), Now, Out);
 }
 
 void Requests::State::acknowledge(ReplyTo &To, AgentActions &Out) {
@@ -56,7 +70,7 @@
 void Requests::State::acknowledgeSlow(TimePoint Now, AgentActions &Out) {
   for (auto &[Id, Each] : Jobs)
     for (ReplyTo &To : Each.Callers)
-      if (!To.Acknowledged && Now - To.At >= AcknowledgeAfter)
+      if (!To.Acknowledged && Now - To.At >= acknowledgeAfter(Each.Work.Method))
         acknowledge(To, Out);
 }
 
--- a/src/requests/execution.cpp
+++ b/src/requests/execution.cpp
@@ -55,12 +55,23 @@
     start(Value, Now, Out);
     return;
   }
-  if (!Leaving && Queue.size() < Service.MaxQueue && startsInTime(Value, Now)) {
-    Value.Phase = JobPhase::Queued;
-    Queue.push_back(Value.Id);
+  const bool MayQueue = !Leaving && startsInTime(Value, Now);
+  if (MayQueue && Queue.size() < std::min(Limit.limit(), Service.MaxQueue)) {
+    enqueue(Value);
     return;
   }
-  refuse(Value, Now, Out);
+  // Now the wait here is longer than a request takes elsewhere.
+  if (trySpill(Value, Now, Out))
+    return;
+  if (MayQueue && Queue.size() < Service.MaxQueue)
+    enqueue(Value);
+  else
+    refuse(Value, Now, Out);
+}
+
+void Requests::State::enqueue(Job &Value) {
+  Value.Phase = JobPhase::Queued;
+  Queue.push_back(Value.Id);
 }
 
 void Requests::State::start(Job &Value, TimePoint Now, AgentActions &Out) {
@@ -130,9 +141,12 @@
     return;
   case UpstreamOutcome::Shed:
   case UpstreamOutcome::Refused:
-    refuse(Value, Now, Out);
+    if (!trySpill(Value, Now, Out))
+      refuse(Value, Now, Out);
     return;
   case UpstreamOutcome::Failed:
+    if (isIdempotent(Value.Work.Method) && trySpill(Value, Now, Out))
+      return;
     finish(Value, bareAnswer(Code::BadGateway, Verdict::MayHaveRun), Now, Out);
     return;
   case UpstreamOutcome::TimedOut:
@@ -161,6 +175,10 @@
   Out.emplace_back(requestEvent(
       NotRun ? EventKind::RequestRefused : EventKind::RequestFinished, Flow,
       Done.Id, static_cast<uint64_t>(Result.Verdict)));
+  if (Done.Origin) {
+    Executed.settle(Done.Origin->Issuer, Done.Origin->SpillId, Result, Now);
+    replyToSpill(*Done.Origin, Result, Out);
+  }
   for (const ReplyTo &To : Done.Callers)
     deliver(Flow, To, Result, !isIdempotent(Done.Work.Method), Now, Out);
 }
@@ -182,6 +200,13 @@
   if (Value.Phase == JobPhase::Running) {
     Runs.at(Value.Run).Cancelled = true;
     Out.emplace_back(CancelUpstream{Value.Run});
+    return;
+  }
+  if (Value.Phase == JobPhase::Spilled) {
+    auto Sent = controlMessage();
+    Sent->mutable_spill_cancel()->set_id(Value.SpillId);
+    Out.emplace_back(
+        SendPeer{Spills.at(Value.SpillId).Control, std::move(Sent)});
   }
 }
 
--- a/src/requests/intake.cpp
+++ b/src/requests/intake.cpp
@@ -10,6 +10,10 @@
 
 /// A caller that names a longer timeout gets this one.
 constexpr Duration MaxRequestTimeout = 60s;
+/// Kept back from the caller's timeout, so that the answer reaches it in time:
+/// two ways of a few milliseconds each and the scheduler's delays.
+constexpr Duration AnswerMargin = 50ms;
+constexpr int AnswerMarginShare = 10;
 /// Messages of one caller that wait for the same answer.
 constexpr size_t MaxCallersOfJob = 4;
 
@@ -23,6 +27,8 @@
   To.Type = Packet.Decoded.Type;
   To.MessageId = Packet.Decoded.MessageId;
   To.Token = Packet.Decoded.Token;
+  To.Asked = {flowOf(Packet.Header), Packet.Decoded.Kind, Packet.Decoded.Path,
+              Packet.Decoded.Query};
   To.Block1 = Packet.Decoded.Block1;
   To.Block2 = Packet.Decoded.Block2;
   To.At = Now;
@@ -33,6 +39,7 @@
 
 void Requests::State::onMessage(const AgentPacket &Packet, TimePoint Now,
                                 AgentActions &Out) {
+  LastEvent = Now;
   const Message &Value = Packet.Decoded;
   const FlowKey Flow = flowOf(Packet.Header);
   Replies.heard(Packet.Header.Balancer, Now);
@@ -98,6 +105,21 @@
             false, Now, Out);
     return;
   }
+  if (Request.Block2 && Request.Block2->Number > 0) {
+    onLaterBlock(Flow, Request, std::move(To), Now, Out);
+    return;
+  }
+  const bool InBlocks =
+      Request.Block1 && (Request.Block1->More || Request.Block1->Number > 0);
+  if (InBlocks)
+    onUpload(Flow, Request, std::move(To), Now, Out);
+  else
+    onWhole(Flow, Request, std::move(To), Now, Out);
+}
+
+/// The request with all of its body.
+void Requests::State::onWhole(const FlowKey &Flow, const Message &Request,
+                              ReplyTo To, TimePoint Now, AgentActions &Out) {
   if (isIdempotent(Request.Kind))
     accept(Flow, Request, std::move(To), std::nullopt, Now, Out);
   else
@@ -141,7 +163,12 @@
                                    const TicketCheck &Checked, ReplyTo To,
                                    TimePoint Now, AgentActions &Out) {
   if (Checked.Use->Outcome) {
-    const Answer Known = *Checked.Use->Outcome;
+    Answer Known = *Checked.Use->Outcome;
+    if (!Known.Body) {
+      const Answer *Held = Answers.find(To.Asked);
+      Known = Held != nullptr ? *Held
+                              : bareAnswer(Code::GatewayTimeout, Known.Verdict);
+    }
     Out.emplace_back(requestEvent(EventKind::DuplicateAnswered, Flow, 0));
     deliver(Flow, std::move(To), Known, true, Now, Out);
     return;
@@ -166,10 +193,13 @@
   Value.Work.Query = Request.Query;
   Value.Work.Body = Request.Payload;
   Value.Work.ContentFormat = Request.ContentFormat;
-  const Duration Timeout = Request.Timeout.value_or(Service.RequestTimeout);
-  Value.Work.Deadline = Now + std::min(Timeout, MaxRequestTimeout);
+  const Duration Timeout = std::min(
+      Request.Timeout.value_or(Service.RequestTimeout), MaxRequestTimeout);
+  Value.Work.Deadline =
+      Now + Timeout - std::min(AnswerMargin, Timeout / AnswerMarginShare);
   Value.UsedTicket = Used;
   Value.Callers.push_back(std::move(To));
+  Retries.earn(Service.RetryPercent);
   place(add(std::move(Value)), Now, Out);
 }
 
--- a/src/requests/job.h
+++ b/src/requests/job.h
@@ -3,6 +3,7 @@
 #define DRAGONFLYSTALL_SRC_REQUESTS_JOB_H
 
 #include "answer.h"
+#include "downloads.h"
 #include "ticket.h"
 
 #include <vector>
@@ -15,6 +16,7 @@
   MessageType Type = MessageType::Confirmable;
   uint16_t MessageId = 0;
   dragonflystall::Token Token;
+  DownloadKey Asked;           ///< What it asks for.
   std::optional<Block> Block1; ///< Of the message; repeated in the answer.
   std::optional<Block> Block2; ///< The size of block that the caller wants.
   TimePoint At;
--- a/src/requests/requests.cpp
+++ b/src/requests/requests.cpp
@@ -43,8 +43,10 @@
   State_->Limit.onHint(Hint);
 }
 
-void Requests::onPeer(const wire::ControlMessage & /*Value*/, TimePoint /*Now*/,
-                      AgentActions & /*Out*/) {}
+void Requests::onPeer(const wire::ControlMessage &Value, TimePoint Now,
+                      AgentActions &Out) {
+  State_->onPeer(Value, Now, Out);
+}
 
 void Requests::onSettings(const SettingsPtr &Value, TimePoint Now,
                           AgentActions &Out) {
@@ -66,14 +68,20 @@
 }
 
 void Requests::tick(TimePoint Now, AgentActions &Out) {
-  for (const auto &[Id, Each] : State_->Runs)
-    State_->Limit.onRunning(Each.Started, Now, Out);
-  State_->sweepJobs(Now, Out);
-  State_->drainQueue(Now, Out);
-  State_->acknowledgeSlow(Now, Out);
-  State_->Replies.tick(Now, Out);
-  State_->Recent.tick(Now);
-  State_->Tickets.tick(Now);
+  State &S = *State_;
+  S.LastEvent = Now;
+  for (const auto &[Id, Each] : S.Runs)
+    S.Limit.onRunning(Each.Started, Now, Out);
+  S.sweepJobs(Now, Out);
+  S.sweepSpills(Now, Out);
+  S.drainQueue(Now, Out);
+  S.acknowledgeSlow(Now, Out);
+  S.Replies.tick(Now, Out);
+  S.Recent.tick(Now);
+  S.Tickets.tick(Now);
+  S.Bodies.tick(Now);
+  S.Answers.tick(Now);
+  S.Executed.tick(Now);
 }
 
 OwnLoad Requests::load() const {
@@ -89,7 +97,9 @@
 }
 
 bool Requests::busy(const FlowKey &Flow) const {
-  return State_->Busy.contains(Flow);
+  const State &S = *State_;
+  return S.Busy.contains(Flow) || S.Bodies.active(Flow, S.LastEvent) ||
+         S.Answers.active(Flow, S.LastEvent);
 }
 
 wire::FlowState Requests::exportFlow(const FlowKey &Flow, TimePoint Now) {
@@ -98,7 +108,7 @@
   Result.mutable_flow()->set_caller_port(Flow.Caller.Port);
   State_->Tickets.exportFlow(Flow, Now, Result);
   State_->Recent.exportFlow(Flow, Result);
-  State_->Recent.dropFlow(Flow);
+  dropFlow(Flow, Now);
   return Result;
 }
 
@@ -110,6 +120,8 @@
 
 void Requests::dropFlow(const FlowKey &Flow, TimePoint /*Now*/) {
   State_->Recent.dropFlow(Flow);
+  State_->Bodies.dropFlow(Flow);
+  State_->Answers.dropFlow(Flow);
 }
 
 } // namespace dragonflystall
--- /dev/null
+++ b/src/requests/spilling.cpp
@@ -0,0 +1,287 @@
+// Requests that go to a peer because this upstream can't bear them now, and
+// those that peers bring here.
+#include "state.h"
+
+#include <algorithm>
+
+namespace dragonflystall {
+
+namespace {
+
+/// How long a peer's view lags behind what was sent to it: one heartbeat.
+constexpr Duration ViewAge = 1s;
+/// A peer that does not answer is asked at this interval.
+constexpr Duration QueryInterval = 300ms;
+/// So many queries without a word, and the peer counts as lost.
+constexpr uint32_t MaxQueries = 3;
+/// Past the deadline, an answer that is on its way may still come.
+constexpr Duration SpillGrace = 500ms;
+
+uint32_t leftMs(TimePoint Deadline, TimePoint Now) {
+  const auto Left =
+      std::chrono::floor<std::chrono::milliseconds>(Deadline - Now).count();
+  return static_cast<uint32_t>(std::clamp<int64_t>(Left, 0, UINT32_MAX));
+}
+
+AgentRef senderOf(const wire::ControlMessage &Value) {
+  return {AgentId{Value.sender().id()},
+          Incarnation{Value.sender().incarnation()}};
+}
+
+Endpoint replyTo(const wire::ControlMessage &Value) {
+  return {Value.reply_to().ip(),
+          static_cast<uint16_t>(Value.reply_to().port())};
+}
+
+void describe(const Work &What, TimePoint Now, wire::UpstreamRequest &Into) {
+  Into.set_method(static_cast<uint32_t>(What.Method));
+  Into.set_path(What.Path);
+  Into.set_query(What.Query);
+  Into.set_body(What.Body);
+  Into.set_timeout_ms(leftMs(What.Deadline, Now));
+  Into.set_idempotent(isIdempotent(What.Method));
+  Into.set_has_content_format(What.ContentFormat.has_value());
+  Into.set_content_format(What.ContentFormat.value_or(0));
+}
+
+Work workOf(const wire::Spill &Value, ServiceId Service, TimePoint Now) {
+  const wire::UpstreamRequest &From = Value.request();
+  Work Result;
+  Result.Flow.Service = Service;
+  Result.Flow.Caller = {Value.flow().caller_ip(),
+                        static_cast<uint16_t>(Value.flow().caller_port())};
+  Result.Method = static_cast<Code>(From.method());
+  Result.Path = From.path();
+  Result.Query = From.query();
+  Result.Body = From.body();
+  if (From.has_content_format())
+    Result.ContentFormat = static_cast<uint16_t>(From.content_format());
+  Result.Deadline = Now + std::chrono::milliseconds(From.timeout_ms());
+  return Result;
+}
+
+} // namespace
+
+std::shared_ptr<wire::ControlMessage> Requests::State::controlMessage() const {
+  auto Value = std::make_shared<wire::ControlMessage>();
+  Value->mutable_sender()->set_id(static_cast<uint32_t>(Self.Self.Agent.Id));
+  Value->mutable_sender()->set_incarnation(
+      static_cast<uint64_t>(Self.Self.Agent.Start));
+  Value->mutable_reply_to()->set_ip(Self.Self.Control.Ip);
+  Value->mutable_reply_to()->set_port(Self.Self.Control.Port);
+  Value->set_service(static_cast<uint64_t>(serviceId(Self.Team, Self.Service)));
+  return Value;
+}
+
+/// What the peer says that it bears, less what was sent to it since.
+uint32_t Requests::State::spareOf(const PeerView &Peer, TimePoint Now) const {
+  if (Peer.Suspected || Peer.Leaving)
+    return 0;
+  const auto Recent = static_cast<uint32_t>(
+      std::ranges::count_if(SpillsSent, [&](const SentSpill &Sent) {
+        return Sent.To == Peer.Agent && Now - Sent.At < ViewAge;
+      }));
+  const uint32_t Taken = Peer.Running + Peer.Queued + Recent;
+  return Peer.Limit - std::min(Peer.Limit, Taken);
+}
+
+/// Drawn by spare: many agents with the same view must not all pick one.
+const PeerView *Requests::State::pickPeer(TimePoint Now) {
+  uint64_t Total = 0;
+  for (const PeerView &Each : Peers)
+    Total += spareOf(Each, Now);
+  if (Total == 0)
+    return nullptr;
+  uint64_t Pick = Random() % Total;
+  for (const PeerView &Each : Peers) {
+    const uint32_t Spare = spareOf(Each, Now);
+    if (Pick < Spare)
+      return &Each;
+    Pick -= Spare;
+  }
+  return nullptr;
+}
+
+/// False: it stays here. A request is spilled once, and a spilled one never
+/// again; a leaving agent's requests are not counted against the budget.
+bool Requests::State::trySpill(Job &Value, TimePoint Now, AgentActions &Out) {
+  const bool Allowed = Leaving || Retries.available();
+  if (Value.Origin || Value.TriedElsewhere || Value.Cancelled || !Allowed ||
+      Now + Limit.typicalLatency() >= Value.Work.Deadline)
+    return false;
+  const PeerView *Peer = pickPeer(Now);
+  if (Peer == nullptr)
+    return false;
+  if (!Leaving)
+    Retries.spend();
+  const uint64_t Id = NextSpill++;
+  Value.Phase = JobPhase::Spilled;
+  Value.SpillId = Id;
+  Value.TriedElsewhere = true;
+  Spills[Id] = {Value.Id, Peer->Agent, Peer->Control, Now + QueryInterval, 0};
+  SpillsSent.push_back({Peer->Agent, Now});
+  auto Sent = controlMessage();
+  wire::Spill &Body = *Sent->mutable_spill();
+  Body.set_id(Id);
+  Body.mutable_flow()->set_caller_ip(Value.Work.Flow.Caller.Ip);
+  Body.mutable_flow()->set_caller_port(Value.Work.Flow.Caller.Port);
+  Body.set_executor(static_cast<uint64_t>(Peer->Agent.Start));
+  describe(Value.Work, Now, *Body.mutable_request());
+  Event Spilled =
+      requestEvent(EventKind::RequestSpilled, Value.Work.Flow, Value.Id, Id);
+  Spilled.Agent = Peer->Agent.Id;
+  Out.emplace_back(std::move(Spilled));
+  Out.emplace_back(SendPeer{Peer->Control, std::move(Sent)});
+  return true;
+}
+
+void Requests::State::onSpillReply(const wire::ControlMessage &Value,
+                                   TimePoint Now, AgentActions &Out) {
+  const wire::SpillReply &Reply = Value.spill_reply();
+  const auto At = Spills.find(Reply.id());
+  if (At == Spills.end() || At->second.Peer != senderOf(Value) ||
+      Incarnation{Reply.issuer()} != Self.Self.Agent.Start)
+    return;
+  const Answer Result = fromWire(Reply.answer());
+  if (Result.Kind == Code::Empty) {
+    At->second.Queries = 0;
+    At->second.NextQuery = Now + QueryInterval;
+    return;
+  }
+  Job &Spilled = Jobs.at(At->second.Job);
+  Spills.erase(At);
+  Spilled.Phase = JobPhase::New;
+  if (Result.Verdict == Verdict::NotRun && !Spilled.Cancelled)
+    place(Spilled, Now, Out);
+  else
+    finish(Spilled, Result, Now, Out);
+}
+
+/// Asks peers that are silent; without a word from them nothing is certain.
+void Requests::State::sweepSpills(TimePoint Now, AgentActions &Out) {
+  std::erase_if(SpillsSent, [Now](const SentSpill &Sent) {
+    return Now - Sent.At >= ViewAge;
+  });
+  std::vector<uint64_t> Lost;
+  for (auto &[Id, Each] : Spills) {
+    if (Each.Queries >= MaxQueries && Now >= Each.NextQuery)
+      Lost.push_back(Id);
+    else if (Now >= Jobs.at(Each.Job).Work.Deadline + SpillGrace)
+      Lost.push_back(Id);
+    else if (Now >= Each.NextQuery)
+      query(Id, Each, Now, Out);
+  }
+  for (const uint64_t Id : Lost) {
+    Job &Value = Jobs.at(Spills.at(Id).Job);
+    Spills.erase(Id);
+    Value.Phase = JobPhase::New;
+    if (isIdempotent(Value.Work.Method) && Now < Value.Work.Deadline &&
+        !Value.Cancelled)
+      place(Value, Now, Out);
+    else
+      finish(Value, bareAnswer(Code::GatewayTimeout, Verdict::MayHaveRun), Now,
+             Out);
+  }
+}
+
+void Requests::State::query(uint64_t Id, PendingSpill &Spill, TimePoint Now,
+                            AgentActions &Out) {
+  ++Spill.Queries;
+  Spill.NextQuery = Now + QueryInterval;
+  auto Sent = controlMessage();
+  Sent->mutable_spill_query()->set_id(Id);
+  Sent->mutable_spill_query()->set_executor(
+      static_cast<uint64_t>(Spill.Peer.Start));
+  Out.emplace_back(SendPeer{Spill.Control, std::move(Sent)});
+}
+
+void Requests::State::replyToSpill(const SpillOrigin &To, const Answer &Result,
+                                   AgentActions &Out) const {
+  auto Sent = controlMessage();
+  wire::SpillReply &Reply = *Sent->mutable_spill_reply();
+  Reply.set_id(To.SpillId);
+  Reply.set_issuer(static_cast<uint64_t>(To.Issuer.Start));
+  *Reply.mutable_answer() = toWire(Result);
+  Out.emplace_back(SendPeer{To.Control, std::move(Sent)});
+}
+
+/// A message for an earlier start of this agent proves nothing here, so it
+/// gets no answer.
+void Requests::State::onSpill(const wire::ControlMessage &Value, TimePoint Now,
+                              AgentActions &Out) {
+  const wire::Spill &Body = Value.spill();
+  if (Incarnation{Body.executor()} != Self.Self.Agent.Start)
+    return;
+  const SpillOrigin From{senderOf(Value), replyTo(Value), Body.id()};
+  switch (Executed.state(From.Issuer, Body.id())) {
+  case SpillState::Done:
+    replyToSpill(From, Executed.answer(From.Issuer, Body.id()), Out);
+    return;
+  case SpillState::InProgress:
+  case SpillState::Forgotten:
+    return;
+  case SpillState::New:
+    break;
+  }
+  const bool Room = !Leaving && Runs.size() + Queue.size() < Limit.limit();
+  if (!Room || Body.request().method() == 0 ||
+      Body.request().method() > static_cast<uint32_t>(Code::Delete)) {
+    const Answer No = refusal(Verdict::NotRun, ViewAge);
+    Executed.settle(From.Issuer, Body.id(), No, Now);
+    replyToSpill(From, No, Out);
+    return;
+  }
+  Executed.accept(From.Issuer, Body.id(), Now);
+  Job Spilled;
+  Spilled.Work = workOf(Body, serviceId(Self.Team, Self.Service), Now);
+  Spilled.Origin = From;
+  place(add(std::move(Spilled)), Now, Out);
+}
+
+void Requests::State::onSpillQuery(const wire::ControlMessage &Value,
+                                   TimePoint Now, AgentActions &Out) {
+  const wire::SpillQuery &Body = Value.spill_query();
+  if (Incarnation{Body.executor()} != Self.Self.Agent.Start)
+    return;
+  const SpillOrigin From{senderOf(Value), replyTo(Value), Body.id()};
+  const SpillState Known = Executed.state(From.Issuer, Body.id());
+  if (Known == SpillState::Forgotten)
+    return;
+  if (Known == SpillState::InProgress) {
+    replyToSpill(From, bareAnswer(Code::Empty, Verdict::MayHaveRun), Out);
+    return;
+  }
+  // The tombstone comes before the word: the spill may still be under way.
+  if (Known == SpillState::New)
+    Executed.settle(From.Issuer, Body.id(), refusal(Verdict::NotRun, ViewAge),
+                    Now);
+  replyToSpill(From, Executed.answer(From.Issuer, Body.id()), Out);
+}
+
+void Requests::State::onSpillCancel(const wire::ControlMessage &Value,
+                                    TimePoint Now, AgentActions &Out) {
+  for (auto &[Id, Each] : Jobs) {
+    if (!Each.Origin || Each.Origin->Issuer != senderOf(Value) ||
+        Each.Origin->SpillId != Value.spill_cancel().id())
+      continue;
+    cancel(Each, Now, Out);
+    return;
+  }
+}
+
+void Requests::State::onPeer(const wire::ControlMessage &Value, TimePoint Now,
+                             AgentActions &Out) {
+  if (Value.service() !=
+      static_cast<uint64_t>(serviceId(Self.Team, Self.Service)))
+    return;
+  if (Value.has_spill())
+    onSpill(Value, Now, Out);
+  else if (Value.has_spill_reply())
+    onSpillReply(Value, Now, Out);
+  else if (Value.has_spill_query())
+    onSpillQuery(Value, Now, Out);
+  else if (Value.has_spill_cancel())
+    onSpillCancel(Value, Now, Out);
+}
+
+} // namespace dragonflystall
--- a/src/requests/state.h
+++ b/src/requests/state.h
@@ -5,11 +5,15 @@
 #define DRAGONFLYSTALL_SRC_REQUESTS_STATE_H
 
 #include "admission/admission.h"
+#include "downloads.h"
 #include "duplicates.h"
 #include "job.h"
 #include "outbox.h"
 #include "requests.h"
+#include "retrybudget.h"
+#include "spillbook.h"
 #include "ticketbook.h"
+#include "uploads.h"
 
 #include <deque>
 #include <map>
@@ -17,6 +21,20 @@
 
 namespace dragonflystall {
 
+/// A request of ours at a peer.
+struct PendingSpill {
+  uint64_t Job = 0;
+  AgentRef Peer;
+  Endpoint Control;
+  TimePoint NextQuery;
+  uint32_t Queries = 0; ///< Without a word since.
+};
+
+struct SentSpill {
+  AgentRef To;
+  TimePoint At;
+};
+
 struct Requests::State {
   State(AgentIdentity Self, uint64_t Seed);
 
@@ -25,6 +43,10 @@
   dragonflystall::Random Random;
   TicketBook Tickets;
   Duplicates Recent;
+  Uploads Bodies;
+  Downloads Answers;
+  SpillBook Executed;
+  RetryBudget Retries;
   Outbox Replies;
   Admission Limit;
   std::vector<PeerView> Peers;
@@ -39,13 +61,22 @@
   std::map<RunId, Run> Runs;
   /// Jobs of each flow; no flow is listed with none.
   std::unordered_map<FlowKey, uint32_t, FlowKeyHash> Busy;
+  /// Invariant: exactly the jobs in phase Spilled, by spill id.
+  std::map<uint64_t, PendingSpill> Spills;
+  /// Of the last second, for the peers' spare.
+  std::vector<SentSpill> SpillsSent;
+  /// When the last event came; for questions that carry no time.
+  TimePoint LastEvent;
   uint64_t NextJob = 1;
   uint64_t NextRun = 1;
+  uint64_t NextSpill = 1;
 
   // intake.cpp
   void onMessage(const AgentPacket &Packet, TimePoint Now, AgentActions &Out);
   void onRequest(const FlowKey &Flow, const Message &Request, ReplyTo To,
                  TimePoint Now, AgentActions &Out);
+  void onWhole(const FlowKey &Flow, const Message &Request, ReplyTo To,
+               TimePoint Now, AgentActions &Out);
   void onTicketed(const FlowKey &Flow, const Message &Request, ReplyTo To,
                   TimePoint Now, AgentActions &Out);
   void onUsedTicket(const FlowKey &Flow, const TicketCheck &Checked, ReplyTo To,
@@ -61,6 +92,7 @@
   // execution.cpp
   Job &add(Job Value);
   void place(Job &Value, TimePoint Now, AgentActions &Out);
+  void enqueue(Job &Value);
   void start(Job &Value, TimePoint Now, AgentActions &Out);
   void drainQueue(TimePoint Now, AgentActions &Out);
   void onUpstream(const UpstreamAnswer &Value, TimePoint Now,
@@ -75,7 +107,38 @@
   Duration expectedWait() const;
   bool startsInTime(const Job &Value, TimePoint Now) const;
 
+  // blockwise.cpp
+  void onUpload(const FlowKey &Flow, const Message &Part, ReplyTo To,
+                TimePoint Now, AgentActions &Out);
+  void refuseUpload(const FlowKey &Flow, const Message &Request, ReplyTo To,
+                    Answer Why, TimePoint Now, AgentActions &Out);
+  void onLaterBlock(const FlowKey &Flow, const Message &Request, ReplyTo To,
+                    TimePoint Now, AgentActions &Out);
+
+  // spilling.cpp
+  std::shared_ptr<wire::ControlMessage> controlMessage() const;
+  uint32_t spareOf(const PeerView &Peer, TimePoint Now) const;
+  const PeerView *pickPeer(TimePoint Now);
+  bool trySpill(Job &Value, TimePoint Now, AgentActions &Out);
+  void onPeer(const wire::ControlMessage &Value, TimePoint Now,
+              AgentActions &Out);
+  void onSpill(const wire::ControlMessage &Value, TimePoint Now,
+               AgentActions &Out);
+  void onSpillReply(const wire::ControlMessage &Value, TimePoint Now,
+                    AgentActions &Out);
+  void onSpillQuery(const wire::ControlMessage &Value, TimePoint Now,
+                    AgentActions &Out);
+  void onSpillCancel(const wire::ControlMessage &Value, TimePoint Now,
+                     AgentActions &Out);
+  void sweepSpills(TimePoint Now, AgentActions &Out);
+  void query(uint64_t Id, PendingSpill &Spill, TimePoint Now,
+             AgentActions &Out);
+  void replyToSpill(const SpillOrigin &To, const Answer &Result,
+                    AgentActions &Out) const;
+
   // delivery.cpp
+  void send(const FlowKey &Flow, const ReplyTo &To, Message Value,
+            TimePoint Now, AgentActions &Out);
   void deliver(const FlowKey &Flow, ReplyTo To, const Answer &Result,
                bool WithTicket, TimePoint Now, AgentActions &Out);
   void acknowledge(ReplyTo &To, AgentActions &Out);
--- a/src/wire/coap.cpp
+++ b/src/wire/coap.cpp
@@ -291,6 +291,17 @@
   return Pdu;
 }
 
+/// An empty acknowledgement or reset, as far as its header says. libcoap's own
+/// client puts options behind some of them, against RFC 7252, section 4.1;
+/// they are ignored, or it would be sent the same answer again and again.
+bool isEmptyReply(std::string_view Datagram) {
+  const auto First = static_cast<uint8_t>(Datagram[0]);
+  const auto Type = static_cast<MessageType>((First >> 4) & 3);
+  const bool NoToken = (First & 0xcf) == CoapVersion << 6;
+  return NoToken && Datagram[1] == 0 &&
+         (Type == MessageType::Acknowledgement || Type == MessageType::Reset);
+}
+
 } // namespace
 
 tl::expected<Message, CoapError> decodeCoap(std::string_view Datagram) {
@@ -298,6 +309,8 @@
     return tl::unexpected(CoapError::TooLarge);
   if (Datagram.size() < HeaderBytes)
     return tl::unexpected(CoapError::Malformed);
+  if (isEmptyReply(Datagram))
+    Datagram = Datagram.substr(0, HeaderBytes);
   const PduPtr Pdu = parse(Datagram);
   if (!Pdu)
     return tl::unexpected(CoapError::Malformed);
--- a/src/wire/coap_test.cpp
+++ b/src/wire/coap_test.cpp
@@ -44,6 +44,14 @@
   EXPECT_EQ(decodeCoap(Reserved).error(), CoapError::Malformed);
 }
 
+TEST(Coap, TakesAnAcknowledgementWithOptionsBehindIt) {
+  const std::string WithEcho("\x60\x00\x5a\x85\xdd\xef\x1b tickets", 14);
+  const auto Decoded = decodeCoap(WithEcho);
+  ASSERT_TRUE(Decoded.has_value());
+  EXPECT_EQ(Decoded->Type, MessageType::Acknowledgement);
+  EXPECT_EQ(Decoded->MessageId, 0x5a85);
+}
+
 RC_GTEST_PROP(Coap, AnyBytesDecodeToWhatEncodesAgain,
               (std::string Bytes, uint8_t First, uint8_t Kind)) {
   // Half of the inputs look like CoAP at the start, to get past the header.
