--- a/cli/admin.cpp
+++ b/cli/admin.cpp
@@ -33,6 +33,19 @@
       "json", "print machine-readable JSON");
 }
 
+void Options::addText(const char *Name, const char *Help) {
+  Table_.add_options()(Name, po::value<std::string>(), Help);
+}
+
+void Options::addTexts(const char *Name, const char *Help) {
+  Table_.add_options()(Name, po::value<std::vector<std::string>>(), Help);
+}
+
+void Options::addNumber(const char *Name, int64_t Default, const char *Help) {
+  Table_.add_options()(Name, po::value<int64_t>()->default_value(Default),
+                       Help);
+}
+
 void Options::positional(const char *Name, int Count) {
   Hidden_.add_options()(Name, po::value<std::vector<std::string>>());
   Places_.add(Name, Count);
--- a/cli/admin.h
+++ b/cli/admin.h
@@ -22,6 +22,10 @@
           std::string_view Summary);
 
   boost::program_options::options_description &table() { return Table_; }
+  void addText(const char *Name, const char *Help);
+  /// One that may be given more than once.
+  void addTexts(const char *Name, const char *Help);
+  void addNumber(const char *Name, int64_t Default, const char *Help);
   /// An argument that is given by its place.
   void positional(const char *Name, int Count = 1);
   /// Adds --platform and --timeout.
@@ -33,6 +37,7 @@
   bool json() const { return has("json"); }
   std::string text(const char *Name) const;
   std::vector<std::string> texts(const char *Name) const;
+  int64_t number(const char *Name) const { return Given_[Name].as<int64_t>(); }
   Endpoint platform() const { return Platform_; }
   Duration timeout() const;
 
--- a/cli/applycommand.cpp
+++ b/cli/applycommand.cpp
@@ -57,10 +57,11 @@
   for (const Json &Step : C.Patch) {
     const std::string Path = Step["path"];
     const Json::json_pointer Pointer(Path);
-    if (Step["op"] != "add" && Old.contains(Pointer))
-      fmt::print("  - {} {}\n", Path, Old[Pointer].dump());
+    if (Step["op"] != "add" && !Old.is_null() && Old.contains(Pointer))
+      fmt::print("  - {} {}\n", Path.empty() ? "/" : Path, Old[Pointer].dump());
     if (Step.contains("value"))
-      fmt::print("  + {} {}\n", Path, Step["value"].dump());
+      fmt::print("  + {} {}\n", Path.empty() ? "/" : Path,
+                 Step["value"].dump());
   }
 }
 
--- a/cli/command.h
+++ b/cli/command.h
@@ -28,6 +28,16 @@
 
 // cli/applycommand.cpp
 int runApply(const Arguments &Args);
+// cli/checkcommand.cpp
+int runCheck(const Arguments &Args);
+// cli/draincommand.cpp
+int runDrain(const Arguments &Args);
+// cli/showcommand.cpp
+int runShow(const Arguments &Args);
+// cli/statuscommand.cpp
+int runStatus(const Arguments &Args);
+// cli/zonecommand.cpp
+int runZone(const Arguments &Args);
 // cli/benchcommand.cpp
 int runBench(const Arguments &Args);
 // cli/callcommand.cpp
--- a/cli/main.cpp
+++ b/cli/main.cpp
@@ -11,6 +11,11 @@
 
 constexpr std::array Commands = {
     Command{"apply", "store settings on the platform", runApply},
+    Command{"check", "check settings files", runCheck},
+    Command{"show", "show stored objects", runShow},
+    Command{"zone", "take an availability zone out or in", runZone},
+    Command{"drain", "make an upstream leave its service", runDrain},
+    Command{"status", "show where the settings are in force", runStatus},
     Command{"bench", "run the deterministic workloads", runBench},
     Command{"call", "send one request and print its verdict", runCallCommand},
     Command{"load", "drive many flows and report", runLoadCommand},
