--- a/src/observe/jsontext.cpp
+++ b/src/observe/jsontext.cpp
@@ -1,23 +1,13 @@
 // Quoting of JSON strings.
 #include "observe/jsontext.h"
 
-#include <fmt/format.h>
+#include <nlohmann/json.hpp>
 
 namespace dragonflystall {
 
 std::string jsonString(std::string_view Text) {
-  constexpr char FirstPrintable = 0x20;
-  std::string Quoted = "\"";
-  for (char C : Text) {
-    if (C == '"' || C == '\\')
-      Quoted.append({'\\', C});
-    else if (C >= 0 && C < FirstPrintable)
-      Quoted += fmt::format("\\u{:04x}", static_cast<int>(C));
-    else
-      Quoted += C;
-  }
-  Quoted += '"';
-  return Quoted;
+  return nlohmann::json(Text).dump(-1, ' ', false,
+                                   nlohmann::json::error_handler_t::replace);
 }
 
 } // namespace dragonflystall
--- a/src/observe/jsontext.h
+++ b/src/observe/jsontext.h
@@ -7,7 +7,7 @@
 
 namespace dragonflystall {
 
-/// The text quoted and escaped. Bytes that are no ASCII pass unchanged.
+/// The text quoted and escaped. Bytes that are no UTF-8 are replaced.
 std::string jsonString(std::string_view Text);
 
 } // namespace dragonflystall
--- /dev/null
+++ b/src/observe/metrics_test.cpp
@@ -0,0 +1,63 @@
+// Histogram figures and the text that a Prometheus server reads.
+#include "observe/metrics.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace dragonflystall {
+namespace {
+
+TEST(Metrics, TextNamesTypeLabelsAndValues) {
+  Metrics All;
+  Counter &Bad = All.counter({"packets_total", "Packets.", "reason=\"bad\""});
+  All.counter({"packets_total", "Packets.", "reason=\"late\""});
+  All.gauge({"flows", "Open flows.", ""}).set(-2);
+  Bad.add(3);
+  EXPECT_EQ(All.prometheusText(), "# HELP packets_total Packets.\n"
+                                  "# TYPE packets_total counter\n"
+                                  "packets_total{reason=\"bad\"} 3\n"
+                                  "packets_total{reason=\"late\"} 0\n"
+                                  "# HELP flows Open flows.\n"
+                                  "# TYPE flows gauge\n"
+                                  "flows -2\n");
+}
+
+TEST(Metrics, HistogramBucketsAreCumulative) {
+  Metrics All;
+  Histogram &H = All.histogram({"latency_seconds", "Latency.", "a=\"b\""});
+  for (double Seconds : {0.002, 0.03, 0.03, 500.0})
+    H.record(Seconds);
+  const std::string Text = All.prometheusText();
+  const auto Has = [&](const std::string &Line) {
+    return Text.find("latency_seconds_" + Line + "\n") != std::string::npos;
+  };
+  EXPECT_TRUE(Has("bucket{a=\"b\",le=\"0.001\"} 0")) << Text;
+  EXPECT_TRUE(Has("bucket{a=\"b\",le=\"0.01\"} 1")) << Text;
+  EXPECT_TRUE(Has("bucket{a=\"b\",le=\"0.05\"} 3")) << Text;
+  EXPECT_TRUE(Has("bucket{a=\"b\",le=\"10\"} 3")) << Text;
+  EXPECT_TRUE(Has("bucket{a=\"b\",le=\"+Inf\"} 4")) << Text;
+  EXPECT_TRUE(Has("count{a=\"b\"} 4")) << Text;
+}
+
+TEST(Metrics, EmptyHistogramHasNoQuantile) {
+  EXPECT_EQ(Histogram().quantile(0.5), 0);
+}
+
+RC_GTEST_PROP(Metrics, QuantileIsWithinABinOfTheExactOne,
+              (const std::vector<uint16_t> &Milliseconds)) {
+  RC_PRE(!Milliseconds.empty());
+  Histogram H;
+  std::vector<double> Sorted;
+  for (uint16_t Each : Milliseconds) {
+    Sorted.push_back((Each + 1) / 1e3);
+    H.record(Sorted.back());
+  }
+  std::sort(Sorted.begin(), Sorted.end());
+  const double Exact = Sorted[(Sorted.size() - 1) / 2];
+  constexpr double BinRatio = 1.13; // 120 bins over six powers of ten.
+  RC_ASSERT(H.quantile(0.5) >= Exact * 0.999);
+  RC_ASSERT(H.quantile(0.5) <= Exact * BinRatio);
+}
+
+} // namespace
+} // namespace dragonflystall
