Merge the time lines of many processes into one order

`dragonflystall timeline` asks each process, sorts by the hybrid logical clock, filters by flow, request and time, follows, and writes a page with a lane for each process. Commands share the parsing of their arguments.

--- a/cli/callcommand.cpp
+++ b/cli/callcommand.cpp
@@ -1,12 +1,10 @@
 // `dragonflystall call`: one request through the caller library.
-#include "command.h"
+#include "arguments.h"
 
 #include "caller/callersocket.h"
 #include "dragonflystall/caller.h"
 
-#include <boost/program_options.hpp>
 #include <fmt/format.h>
-#include <fmt/ostream.h>
 #include <nlohmann/json.hpp>
 #include <poll.h>
 #include <random>
@@ -147,26 +145,12 @@
 } // namespace
 
 int runCallCommand(const Arguments &Args) {
-  const po::options_description Known = knownOptions();
   po::positional_options_description Positions;
   Positions.add("method", 1).add("target", 1);
-  po::variables_map Given;
-  try {
-    po::store(po::command_line_parser(Args)
-                  .options(Known)
-                  .positional(Positions)
-                  .run(),
-              Given);
-    if (Given.count("help") != 0) {
-      fmt::print("{}", fmt::streamed(Known));
-      return Success;
-    }
-    po::notify(Given);
-  } catch (const po::error &E) {
-    fmt::print(stderr, "{}\n", E.what());
-    return BadUsage;
-  }
-  const auto Options = toOptions(Given);
+  const auto Given = parseArguments(Args, knownOptions(), Positions);
+  if (!Given)
+    return Given.error();
+  const auto Options = toOptions(*Given);
   if (!Options) {
     fmt::print(stderr, "{}\n", Options.error());
     return BadUsage;
--- a/cli/loadcommand.cpp
+++ b/cli/loadcommand.cpp
@@ -1,12 +1,10 @@
 // `dragonflystall load`: many flows against one or more services, a report.
-#include "command.h"
+#include "arguments.h"
 
 #include "load/generator.h"
 #include "load/report.h"
 
-#include <boost/program_options.hpp>
 #include <fmt/format.h>
-#include <fmt/ostream.h>
 #include <fstream>
 #include <unistd.h>
 
@@ -174,20 +172,10 @@
 } // namespace
 
 int runLoadCommand(const Arguments &Args) {
-  const po::options_description Known = knownOptions();
-  po::variables_map Given;
-  try {
-    po::store(po::command_line_parser(Args).options(Known).run(), Given);
-    if (Given.count("help") != 0) {
-      fmt::print("{}", fmt::streamed(Known));
-      return Success;
-    }
-    po::notify(Given);
-  } catch (const po::error &E) {
-    fmt::print(stderr, "{}\n", E.what());
-    return BadUsage;
-  }
-  const auto Command = toCommand(Given);
+  const auto Given = parseArguments(Args, knownOptions());
+  if (!Given)
+    return Given.error();
+  const auto Command = toCommand(*Given);
   if (!Command) {
     fmt::print(stderr, "{}\n", Command.error());
     return BadUsage;
--- a/cli/main.cpp
+++ b/cli/main.cpp
@@ -14,6 +14,8 @@
     Command{"bench", "run the deterministic workloads", runBench},
     Command{"call", "send one request and print its verdict", runCallCommand},
     Command{"load", "drive many flows and report", runLoadCommand},
+    Command{"timeline", "merge the events of many processes",
+            runTimelineCommand},
 };
 
 void printCommands() {
--- a/src/load/htmlreport.cpp
+++ b/src/load/htmlreport.cpp
@@ -1,6 +1,7 @@
 // The load report as a self-contained page.
 #include "load/report.h"
 #include "load/svgchart.h"
+#include "observe/htmltext.h"
 
 #include <fmt/format.h>
 #include <set>
--- a/src/load/svgchart.cpp
+++ b/src/load/svgchart.cpp
@@ -1,6 +1,8 @@
 // Lays the chart out.
 #include "load/svgchart.h"
 
+#include "observe/htmltext.h"
+
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -115,29 +117,6 @@
 
 } // namespace
 
-std::string escapeHtml(const std::string &Text) {
-  std::string Escaped;
-  for (char C : Text) {
-    switch (C) {
-    case '<':
-      Escaped += "&lt;";
-      break;
-    case '>':
-      Escaped += "&gt;";
-      break;
-    case '&':
-      Escaped += "&amp;";
-      break;
-    case '"':
-      Escaped += "&quot;";
-      break;
-    default:
-      Escaped += C;
-    }
-  }
-  return Escaped;
-}
-
 std::string toSvg(const Chart &C) {
   const Scale S = scaleOf(C);
   std::string Svg =
--- a/src/load/svgchart.h
+++ b/src/load/svgchart.h
@@ -26,9 +26,6 @@
 
 std::string toSvg(const Chart &C);
 
-/// The text with the characters that HTML gives a meaning replaced.
-std::string escapeHtml(const std::string &Text);
-
 } // namespace dragonflystall::load
 
 #endif
