--- a/cli/edit.cpp
+++ b/cli/edit.cpp
@@ -32,8 +32,7 @@
   const auto Parsed = parseSettingsKey(Key);
   if (!Parsed)
     return {{"", "a valid name"}};
-  const auto Checked = parseSettings(*Parsed, Value);
-  return Checked ? SettingErrors() : Checked.error();
+  return readSettings(*Parsed, Value).Errors;
 }
 
 } // namespace
--- a/cli/settingsfile.cpp
+++ b/cli/settingsfile.cpp
@@ -27,6 +27,26 @@
   Entry.Newest = readSettingsObject(std::move(Object));
 }
 
+void addErrors(const std::string &Key, const SettingErrors &Found,
+               std::vector<KeyError> &Errors) {
+  for (const SettingError &E : Found)
+    Errors.push_back({Key, E});
+}
+
+/// Notes what is wrong with the value by itself. What could be read of it
+/// stays, so that clashes with other objects are found as well.
+void takeOwnErrors(const std::string &Key, SettingsEntries &Entries,
+                   std::vector<KeyError> &Errors) {
+  SettingsObject &Object = Entries.at(Key).Newest;
+  const auto Parsed = parseSettingsKey(Key);
+  if (Object.Errors.empty() || !Parsed)
+    return;
+  addErrors(Key, Object.Errors, Errors);
+  Object.Errors.clear();
+  Object.Value = std::make_shared<SettingsValue>(
+      readSettings(*Parsed, Object.Stored.Value).Value);
+}
+
 } // namespace
 
 std::optional<std::string> readFile(const std::string &Path) {
@@ -69,15 +89,14 @@
   for (const FileEntry &Entry : Wanted)
     overlay(Entries, {Entry.Key, ++Version, Entry.Value.value_or(""),
                       !Entry.Value.has_value()});
-  const Assembly Built = assemble(Entries, Zones);
   std::vector<KeyError> Errors;
-  for (const FileEntry &Entry : Wanted) {
-    const auto It = Built.Refused.find(Entry.Key);
-    if (It == Built.Refused.end())
-      continue;
-    for (const SettingError &E : It->second)
-      Errors.push_back({Entry.Key, E});
-  }
+  for (const FileEntry &Entry : Wanted)
+    takeOwnErrors(Entry.Key, Entries, Errors);
+  const Assembly Built = assemble(Entries, Zones);
+  for (const FileEntry &Entry : Wanted)
+    if (const auto It = Built.Refused.find(Entry.Key);
+        It != Built.Refused.end())
+      addErrors(Entry.Key, It->second, Errors);
   return Errors;
 }
 
--- a/src/settings/exchange.cpp
+++ b/src/settings/exchange.cpp
@@ -1,5 +1,7 @@
 // The exchange of digests, pulls and pushes.
-#include "exchange.h"
+#include "settings/exchange.h"
+
+#include <utility>
 
 namespace dragonflystall {
 
@@ -20,12 +22,16 @@
 
 void SettingsExchange::tick(const std::vector<Endpoint> &Peers,
                             const Sender &Send) {
-  if (Peers.empty())
-    return;
-  std::uniform_int_distribution<size_t> Pick(0, Peers.size() - 1);
-  const Endpoint To = Peers[Pick(Random_)];
-  if (To == Self_)
-    return;
+  const bool IsNew = std::exchange(Spread_, View_.version()) != View_.version();
+  const size_t Count = IsNew ? SpreadPeers : 1;
+  for (size_t I = 0; I < Count && !Peers.empty(); ++I) {
+    const Endpoint To = Peers[Random_() % Peers.size()];
+    if (To != Self_)
+      sendDigest(To, Send);
+  }
+}
+
+void SettingsExchange::sendDigest(Endpoint To, const Sender &Send) const {
   wire::ControlMessage Message = envelope();
   *Message.mutable_settings_digest() = View_.digest();
   Send(To, Message);
@@ -40,6 +46,8 @@
     if (auto Pull = View_.compare(Value.settings_digest())) {
       *Reply.mutable_settings_pull() = *Pull;
       Send(To, Reply);
+    } else if (Value.settings_digest().version() < View_.version()) {
+      sendDigest(To, Send); // The peer pulls at once, not at its next turn.
     }
     return false;
   }
@@ -55,6 +63,10 @@
   const SettingsPtr Before = View_.current();
   std::vector<Event> Happened = View_.merge(Value.settings_push());
   Events.insert(Events.end(), Happened.begin(), Happened.end());
+  if (auto Pull = View_.next(Value.settings_push())) {
+    *Reply.mutable_settings_pull() = *Pull;
+    Send(To, Reply);
+  }
   return View_.current() != Before;
 }
 
--- a/src/settings/exchange.h
+++ b/src/settings/exchange.h
@@ -13,6 +13,9 @@
 
 namespace dragonflystall {
 
+/// How many peers hear at once of a version that is new here.
+constexpr size_t SpreadPeers = 3;
+
 class SettingsExchange {
 public:
   using Sender =
@@ -22,7 +25,8 @@
   SettingsExchange(SettingsView &View, AgentRef Sender, Endpoint Self,
                    uint64_t Seed);
 
-  /// Sends a digest to one of the peers, drawn at random.
+  /// Sends a digest to one of the peers, drawn at random, or to SpreadPeers of
+  /// them when the view has changed since the last call.
   void tick(const std::vector<Endpoint> &Peers, const Sender &Send);
   /// Takes the bodies that concern settings; true when the view changed.
   bool onPeer(const wire::ControlMessage &Value, const Sender &Send,
@@ -30,11 +34,14 @@
 
 private:
   wire::ControlMessage envelope() const;
+  void sendDigest(Endpoint To, const Sender &Send) const;
 
   SettingsView &View_;
   AgentRef Sender_;
   Endpoint Self_;
   Random Random_;
+  /// The version that was sent to SpreadPeers.
+  uint64_t Spread_ = 0;
 };
 
 } // namespace dragonflystall
--- a/src/settings/hostsettings.cpp
+++ b/src/settings/hostsettings.cpp
@@ -134,8 +134,8 @@
                         "this key; an agent has team, service and upstream"});
   for (const std::string_view Name : {"entry", "entry_mode"})
     if (Object.contains(Name))
-      Errors.push_back({fmt::format("/{}", Name),
-                        "no such key beside team, service and upstream"});
+      Errors.push_back(
+          {fmt::format("/{}", Name), "no such key in an agent's settings"});
 }
 
 /// Two listeners of one protocol can't share an address.
--- a/src/settings/objects.cpp
+++ b/src/settings/objects.cpp
@@ -199,27 +199,24 @@
   return fmt::format("{}{}", ZonesPrefix, Name);
 }
 
-tl::expected<SettingsValue, SettingErrors>
-parseSettings(const SettingsKey &Key, const std::string &Text) {
-  SettingErrors Errors;
-  const std::optional<Json> Object = parseJson(Text, Errors);
-  if (!Object)
-    return tl::unexpected(std::move(Errors));
-  SettingsValue Value;
+ReadSettings readSettings(const SettingsKey &Key, const std::string &Text) {
+  ReadSettings Out;
+  const std::optional<Json> Object = parseJson(Text, Out.Errors);
   if (Key.Kind == SettingsKind::Service) {
     ServiceSettings Service = emptyService(Key);
-    readObject(std::span<const ServiceField>(ServiceFields), *Object, Service,
-               Errors);
-    Value = std::move(Service);
+    if (Object)
+      readObject(std::span<const ServiceField>(ServiceFields), *Object, Service,
+                 Out.Errors);
+    Out.Value = std::move(Service);
   } else {
     ZoneSettings Zone;
     Zone.Name = Key.Name;
-    readObject(std::span<const ZoneField>(ZoneFields), *Object, Zone, Errors);
-    Value = std::move(Zone);
+    if (Object)
+      readObject(std::span<const ZoneField>(ZoneFields), *Object, Zone,
+                 Out.Errors);
+    Out.Value = std::move(Zone);
   }
-  if (!Errors.empty())
-    return tl::unexpected(std::move(Errors));
-  return Value;
+  return Out;
 }
 
 SettingsObject readSettingsObject(StoredObject Stored) {
@@ -229,11 +226,10 @@
     Out.Errors = {{"", "a key settings/<team>/services/<name> or "
                        "settings/zones/<name>"}};
   } else if (!Stored.Deleted) {
-    auto Value = parseSettings(*Key, Stored.Value);
-    if (Value)
-      Out.Value = std::make_shared<SettingsValue>(*std::move(Value));
-    else
-      Out.Errors = std::move(Value.error());
+    ReadSettings Read = readSettings(*Key, Stored.Value);
+    if (Read.Errors.empty())
+      Out.Value = std::make_shared<SettingsValue>(std::move(Read.Value));
+    Out.Errors = std::move(Read.Errors);
   }
   Out.Stored = std::move(Stored);
   return Out;
--- a/src/settings/objects.h
+++ b/src/settings/objects.h
@@ -32,10 +32,16 @@
 
 using SettingsValue = std::variant<ServiceSettings, ZoneSettings>;
 
+/// A value with what is wrong with it. Of an invalid value, what could be read
+/// is there, and defaults in place of the rest.
+struct ReadSettings {
+  SettingsValue Value;
+  SettingErrors Errors;
+};
+
 /// Checks the value by itself; what depends on other objects is checked by
 /// assemble(). All errors at once.
-tl::expected<SettingsValue, SettingErrors>
-parseSettings(const SettingsKey &Key, const std::string &Json);
+ReadSettings readSettings(const SettingsKey &Key, const std::string &Json);
 
 /// An object and what its value says.
 struct SettingsObject {
--- a/src/settings/schema.cpp
+++ b/src/settings/schema.cpp
@@ -139,7 +139,7 @@
     if (isKey(Rules, Path))
       continue;
     if (!isGroup(Rules, Path))
-      Errors.push_back({Pointer, "no such key"});
+      Errors.push_back({Pointer, "a known key; there is none of this name"});
     else if (!Value.is_object())
       Errors.push_back({Pointer, "an object"});
     else
