--- a/cli/loadcommand.cpp
+++ b/cli/loadcommand.cpp
@@ -46,7 +46,7 @@
       "phase-at", po::value<Texts>()->composing(),
       "SECONDS=NAME: count under NAME from then on")(
       "phase-file", po::value<std::string>()->default_value(""),
-      "lines appended to this file start phases")(
+      "lines appended to this file start phases; \"end\" ends the run")(
       "max-broken", po::value<uint64_t>(),
       "fail when more flows broke")("max-refused", po::value<uint64_t>(),
                                     "fail when more calls were refused")(
--- a/scripts/lib/deployment.sh
+++ b/scripts/lib/deployment.sh
@@ -4,6 +4,7 @@
 
 declare -A pids=()  # process name -> pid, only of processes started here
 platform=127.1.0.1:9000
+cold_seconds=4
 
 choose_deployment() {
   case "$1" in
@@ -11,11 +12,13 @@
       team=hangarlabbet zones=(lund-a malmo-b helsingborg-c)
       services=(tags receipts) slots=4 ;;
     bretagne)
-      team=le-goff zones=(quimper vannes lorient)
-      services=(job-cards manuals) slots=9 ;;
+      team=legoff zones=(quimper vannes lorient)
+      services=(jobcards manuals) slots=9 ;;
     *) echo "unknown deployment '$1': skane or bretagne" >&2; exit 2 ;;
   esac
   deployment=$1 connections=2000
+  # Each upstream bears 100 requests a second, whatever its slots.
+  service_ms=$((slots * 10))
   service_ips=(127.1.100.1 127.1.100.2)
 }
 
@@ -101,7 +104,8 @@
   shift
   start "upstream-$i" "$bin/standin-upstream" --listen "$(agent_ip "$i"):8080" \
     --slots "$slots" --service "${services[$(agent_service "$i")]}" \
-    --name "$(agent_name "$i")" --seed "$i" --cold-seconds 2 "$@"
+    --name "$(agent_name "$i")" --seed "$i" --service-ms "$service_ms" \
+    --cold-seconds "$cold_seconds" "$@"
 }
 
 start_agent() { start "agent-$1" "$bin/dragonflystall-agent" --settings "$work/agent-$1.json"; }
--- a/src/load/generator.cpp
+++ b/src/load/generator.cpp
@@ -20,6 +20,8 @@
 
 constexpr Duration PhaseFileEvery = 50ms;
 constexpr Duration ProgressEvery = 1s;
+/// A line of the phase file that lets no more calls start.
+constexpr std::string_view EndOfRun = "end";
 constexpr size_t EventsARound = 256;
 
 /// One flow: its socket, its caller, and the call in progress.
@@ -39,7 +41,8 @@
 class Generator {
 public:
   Generator(const Options &Asked, Tally &Seen)
-      : Asked_(Asked), Seen_(Seen), Bits_(Asked.Seed), Run_(Bits_()) {}
+      : Asked_(Asked), Seen_(Seen), Bits_(Asked.Seed), Run_(Bits_()),
+        Length_(Asked.Length) {}
   ~Generator() {
     if (Poll_ >= 0)
       ::close(Poll_);
@@ -66,6 +69,7 @@
   Tally &Seen_;
   Random Bits_;
   const uint64_t Run_; ///< Makes keys of different runs differ.
+  Duration Length_;
   TimePoint Start_{};
   std::deque<Flow> Flows_;
   std::vector<uint32_t> Order_; ///< In which flows take turns.
@@ -135,7 +139,7 @@
 /// Calls start evenly spaced; what a busy loop missed is caught up with.
 void Generator::startDueCalls() {
   const Duration Now = elapsed();
-  if (Now >= Asked_.Length)
+  if (Now >= Length_)
     return;
   const auto Due = static_cast<uint64_t>(
       Asked_.Rate * std::chrono::duration<double>(Now).count());
@@ -248,8 +252,12 @@
     return;
   NextPhaseRead_ = Now + PhaseFileEvery;
   std::string Line;
-  while (std::getline(PhaseFile_, Line))
-    Seen_.startPhase(Line, elapsed());
+  while (std::getline(PhaseFile_, Line)) {
+    if (Line == EndOfRun)
+      Length_ = std::min(Length_, elapsed());
+    else
+      Seen_.startPhase(Line, elapsed());
+  }
   PhaseFile_.clear();
 }
 
@@ -268,7 +276,7 @@
 
 void Generator::run() {
   Start_ = SystemClock().now();
-  while (elapsed() < Asked_.Length || Active_ > 0) {
+  while (elapsed() < Length_ || Active_ > 0) {
     readPhases();
     startDueCalls();
     waitForPackets();
--- a/src/load/loadoptions.h
+++ b/src/load/loadoptions.h
@@ -33,7 +33,8 @@
   Duration Timeout = 5s; ///< Of each call.
   uint64_t Seed = 1;
   std::vector<PhaseMark> Phases;
-  /// Lines appended to this file while the load runs start new phases.
+  /// Lines appended to this file while the load runs start new phases; the
+  /// line "end" ends the run before its time.
   std::string PhaseFile;
   /// Stand-ins that tell at the end what ran.
   std::vector<Endpoint> Upstreams;
