Measure the slopes that capacity is worked out from

Change: bench capacity: bytes and CPU for each flow, service, change, heartbeat and roster, at 3, 10, 30 and 100 agents.

--- a/bench/bench.cpp
+++ b/bench/bench.cpp
@@ -20,6 +20,7 @@
 
 constexpr std::array Measurements = {
     Measurement{"forward", measureForwarding},
+    Measurement{"capacity", measureCapacity},
 };
 
 } // namespace
--- a/bench/bench.h
+++ b/bench/bench.h
@@ -54,6 +54,8 @@
 Outcome joinMoves();
 // bench/forwardbench.cpp
 bool measureForwarding();
+// bench/capacitybench.cpp
+bool measureCapacity();
 
 } // namespace dragonflystall::bench
 
