--- a/scripts/lib/deployment.sh
+++ b/scripts/lib/deployment.sh
@@ -129,14 +129,15 @@
   start_fabric
 }
 
+# Zones go first: a service may only name zones that exist.
 apply_settings() {
-  local file owner
-  for file in "contrib/deployments/$deployment"/settings-*.json; do
-    owner=$team
-    [ "$(basename "$file")" = settings-zones.json ] && owner=operations
-    "$bin/dragonflystall" apply "$owner" "$file" --platform "$platform" \
-      >>"$work/apply.out" || return 1
-  done
+  apply_file operations settings-zones.json
+  apply_file "$team" "settings-$team.json"
+}
+
+apply_file() { # TEAM FILE
+  "$bin/dragonflystall" apply "$1" "contrib/deployments/$deployment/$2" \
+    --platform "$platform" >>"$work/apply.out"
 }
 
 get() { curl -s -m 2 "http://$1"; }          # URL-without-scheme
