--- a/cli/loadcommand.cpp
+++ b/cli/loadcommand.cpp
@@ -32,7 +32,9 @@
       "upstream", po::value<Texts>()->composing(),
       "IP:PORT of a stand-in upstream that tells what ran")(
       "flows", po::value<uint32_t>()->default_value(100), "open flows")(
-      "rate", po::value<double>()->default_value(100), "calls a second")(
+      "rate", po::value<double>()->default_value(100),
+      "calls a second")("warm-up", po::value<double>()->default_value(0),
+                        "seconds over which the rate rises")(
       "seconds", po::value<double>()->default_value(10),
       "how long")("post-percent", po::value<uint32_t>()->default_value(30),
                   "calls that may not be repeated")(
@@ -123,6 +125,7 @@
   Run.Phases = std::move(*Phases);
   Run.Flows = Given["flows"].as<uint32_t>();
   Run.Rate = Given["rate"].as<double>();
+  Run.WarmUp = toDuration(Given["warm-up"].as<double>());
   Run.Length = toDuration(Given["seconds"].as<double>());
   Run.PostPercent = Given["post-percent"].as<uint32_t>();
   Run.LargePercent = Given["large-percent"].as<uint32_t>();
--- a/scripts/lib/deployment.sh
+++ b/scripts/lib/deployment.sh
@@ -130,8 +130,9 @@
 }
 
 apply_settings() {
-  local file owner
-  for file in "contrib/deployments/$deployment"/settings-*.json; do
+  # Zones first: a service may only name zones that exist.
+  local folder="contrib/deployments/$deployment" file owner
+  for file in "$folder/settings-zones.json" "$folder/settings-$team.json"; do
     owner=$team
     [ "$(basename "$file")" = settings-zones.json ] && owner=operations
     "$bin/dragonflystall" apply "$owner" "$file" --platform "$platform" \
--- a/scripts/lib/faults.sh
+++ b/scripts/lib/faults.sh
@@ -166,7 +166,7 @@
 }
 
 # Phases in which no established flow may break.
-planned='["steady", "balancer kill -9", "balancer SIGTERM", "agent SIGTERM",
+planned='["warm-up", "steady", "balancer kill -9", "balancer SIGTERM", "agent SIGTERM",
   "agent joins", "zone stays out", "zone back", "platform down",
   "platform down, balancer joins", "platform back", "platform loses answers",
   "upstream cold again"]'
--- a/src/load/generator.cpp
+++ b/src/load/generator.cpp
@@ -54,6 +54,7 @@
 private:
   Duration elapsed() const { return SystemClock().now() - Start_; }
   uint32_t targetOf(uint32_t Index) const;
+  double callsDueBy(Duration Elapsed) const;
   void startDueCalls();
   Flow *nextFreeFlow(uint32_t &Index);
   void startCall(uint32_t Index, Flow &F);
@@ -77,6 +78,7 @@
   int Poll_ = -1;
   uint64_t Started_ = 0;
   uint64_t Active_ = 0;
+  bool Warm_ = false;
   size_t NextPhase_ = 0;
   std::ifstream PhaseFile_;
   Duration NextPhaseRead_{};
@@ -136,13 +138,21 @@
   return nullptr;
 }
 
+double Generator::callsDueBy(Duration Elapsed) const {
+  using Seconds = std::chrono::duration<double>;
+  const double Now = Seconds(Elapsed).count();
+  const double WarmUp = Seconds(Asked_.WarmUp).count();
+  if (Now < WarmUp)
+    return Asked_.Rate * Now * Now / (2 * WarmUp);
+  return Asked_.Rate * (Now - WarmUp / 2);
+}
+
 /// Calls start evenly spaced; what a busy loop missed is caught up with.
 void Generator::startDueCalls() {
   const Duration Now = elapsed();
   if (Now >= Length_)
     return;
-  const auto Due = static_cast<uint64_t>(
-      Asked_.Rate * std::chrono::duration<double>(Now).count());
+  const auto Due = static_cast<uint64_t>(callsDueBy(Now));
   while (Started_ < Due) {
     ++Started_;
     uint32_t Index = 0;
@@ -245,6 +255,10 @@
 
 void Generator::readPhases() {
   const Duration Now = elapsed();
+  if (!Warm_ && Now >= Asked_.WarmUp) {
+    Warm_ = true;
+    Seen_.startPhase("steady", Now);
+  }
   while (NextPhase_ < Asked_.Phases.size() &&
          Asked_.Phases[NextPhase_].At <= Now)
     Seen_.startPhase(Asked_.Phases[NextPhase_++].Name, Now);
--- a/src/load/loadoptions.h
+++ b/src/load/loadoptions.h
@@ -26,7 +26,10 @@
   std::vector<Target> Targets;
   uint32_t Flows = 100;
   double Rate = 100; ///< Calls a second over all flows.
-  Duration Length = 10s;
+  /// The rate rises evenly from nothing over this time, which is counted as
+  /// the phase "warm-up".
+  Duration WarmUp{};
+  Duration Length = 10s; ///< Warm-up included.
   uint32_t PostPercent = 30;
   uint32_t LargePercent = 0; ///< GETs of large bodies, of all calls.
   uint32_t LargeBytes = 65536;
--- a/src/load/tally.cpp
+++ b/src/load/tally.cpp
@@ -17,7 +17,7 @@
 
 } // namespace
 
-Tally::Tally(uint32_t Flows) : Flows_(Flows) { startPhase("steady", {}); }
+Tally::Tally(uint32_t Flows) : Flows_(Flows) { startPhase("warm-up", {}); }
 
 void Tally::startPhase(std::string Name, Duration At) {
   PhaseTally &Phase = Phases_.emplace_back();
