Mend a merge of the demo's settings step

Cause: two ways of applying zones first met in a merge. Change: one of them stays. No functional change.

--- a/scripts/lib/deployment.sh
+++ b/scripts/lib/deployment.sh
@@ -131,7 +131,6 @@
 
 # Zones go first: a service may only name zones that exist.
 apply_settings() {
-<<<<<<< HEAD
   apply_file operations settings-zones.json
   apply_file "$team" "settings-$team.json"
 }
@@ -139,16 +138,6 @@
 apply_file() { # TEAM FILE
   "$bin/dragonflystall" apply "$1" "contrib/deployments/$deployment/$2" \
     --platform "$platform" >>"$work/apply.out"
-=======
-  # Zones first: a service may only name zones that exist.
-  local folder="contrib/deployments/$deployment" file owner
-  for file in "$folder/settings-zones.json" "$folder/settings-$team.json"; do
-    owner=$team
-    [ "$(basename "$file")" = settings-zones.json ] && owner=operations
-    "$bin/dragonflystall" apply "$owner" "$file" --platform "$platform" \
-      >>"$work/apply.out" || return 1
-  done
->>>>>>> observe
 }
 
 get() { curl -s -m 2 "http://$1"; }          # URL-without-scheme
