--- a/include/dragonflystall/packet.h
+++ b/include/dragonflystall/packet.h
@@ -35,7 +35,8 @@
   /// The newest roster version of the service that the sender has seen.
   uint64_t RosterVersion = 0;
   uint8_t Hops = 0;
-  /// Request: the flow's home has placed the flow at the receiver.
+  /// Request: the flow's home has placed the flow at Holder. A packet that
+  /// comes back with the sender as Holder was refused by it.
   bool Placed = false;
   /// Reply: the flow's holder, None when the flow has none any more.
   AgentId Holder = AgentId::None;
--- a/src/flows/fakecluster_test.h
+++ b/src/flows/fakecluster_test.h
@@ -115,7 +115,7 @@
     auto Shared = std::make_shared<const Settings>(Wanted);
     for (auto &[Name, Agent] : Agents)
       after(watchDelay(), [this, Name = Name, Shared] {
-        event(Name, [&](FakeAgent &A, FlowsOutput &Out) {
+        event(Name, [this, Shared](FakeAgent &A, FlowsOutput &Out) {
           A.Core->onSettings(Shared, Now, Out);
         });
       });
@@ -248,7 +248,7 @@
     after(Duration(90ms) + Duration(Rng() % 20'000'000), [this, Name, Start] {
       if (StartOf_[Name] != Start)
         return;
-      event(Name, [&](FakeAgent &A, FlowsOutput &Out) {
+      event(Name, [this](FakeAgent &A, FlowsOutput &Out) {
         A.Core->tick(Now, OwnLoad{0, 0, 4}, Out);
       });
       tickLater(Name, Start);
@@ -327,7 +327,7 @@
     const int Copies = chance(Trouble.DuplicatePerMille) ? 2 : 1;
     for (int I = 0; I < Copies; ++I)
       after(delay(), [this, Name, Packet] {
-        event(Name, [&, Packet](FakeAgent &A, FlowsOutput &Out) {
+        event(Name, [this, Packet](FakeAgent &A, FlowsOutput &Out) {
           A.Core->onPacket(Packet, Now, Out);
         });
       });
@@ -341,7 +341,7 @@
     const int Copies = chance(Trouble.DuplicatePerMille) ? 2 : 1;
     for (int I = 0; I < Copies; ++I)
       after(delay(), [this, Name, Value] {
-        event(Name, [&, Value](FakeAgent &A, FlowsOutput &Out) {
+        event(Name, [this, Value](FakeAgent &A, FlowsOutput &Out) {
           A.Core->onPeer(*Value, Now, Out);
         });
       });
@@ -370,7 +370,7 @@
       }
       after(delay(), [this, Name, Result, Start] {
         if (StartOf_[Name] == Start)
-          event(Name, [&](FakeAgent &A, FlowsOutput &Out) {
+          event(Name, [this, Result](FakeAgent &A, FlowsOutput &Out) {
             A.Core->onRosterWritten(Result, Now, Out);
           });
       });
@@ -381,7 +381,7 @@
     after(watchDelay(), [this, Name] {
       if (Trouble.StoreDown || Stored.Version == 0)
         return;
-      event(Name, [&, Value = Stored](FakeAgent &A, FlowsOutput &Out) {
+      event(Name, [this, Value = Stored](FakeAgent &A, FlowsOutput &Out) {
         A.Core->onRoster(Value, Now, Out);
       });
     });
--- a/src/flows/flows.cpp
+++ b/src/flows/flows.cpp
@@ -58,13 +58,17 @@
   if (Others.leaving() == Leaving)
     return;
   Others.setLeaving(Leaving);
-  LeavingSince = Now;
+  LastSuccessor = Now;
   Members.heartbeatNow();
 }
 
 void Flows::State::conclude(TimePoint Now, FlowsOutput &Out) {
   if (Others.superseded())
     giveUpAll(Now, Out);
+  // Removed and back again: the flows may have been placed elsewhere.
+  if (Others.listed() && !WasListed)
+    registerAll();
+  WasListed = Others.listed();
   if (ScannedView != Others.view())
     scanHomes(Now, Out);
   const uint64_t Stated = registered() ? Others.view() : UnregisteredView;
@@ -101,7 +105,7 @@
   S.noteRun(Now);
   const Peer *From = S.Others.heard(Value, Now, Out);
   S.Members.onPeer(Value, Now, Out);
-  S.noteSuspicion(Value);
+  S.noteLapses(Value);
   // The roster may have been replaced in between.
   From = S.Others.find(AgentId{Value.sender().id()});
   if (From && From->Entry.Agent == wire::fromWire(Value.sender())) {
--- a/src/flows/handover.cpp
+++ b/src/flows/handover.cpp
@@ -176,10 +176,9 @@
 void Flows::State::finishLeaving(TimePoint Now, FlowsOutput &Out) {
   if (!StopWanted)
     return;
-  const bool NobodyTakes =
-      Now - LeavingSince >= LeaveBound &&
-      Others.candidates(Context.self().Id, 0, Load, Now).empty();
-  if (NobodyTakes && HandOvers.empty())
+  if (!Others.candidates(Context.self().Id, 0, Load, Now).empty())
+    LastSuccessor = Now;
+  if (Now - LastSuccessor >= LeaveBound && HandOvers.empty())
     for (Endpoint Caller : Held.select([&](Endpoint C, const HeldFlow &) {
            return !Store.busy(Context.flow(C));
          }))
--- a/src/flows/holder.cpp
+++ b/src/flows/holder.cpp
@@ -57,7 +57,6 @@
     unpark(Batch.Parked);
   HandOvers.clear();
   Moved.clear();
-  Known.clear();
   Unregistered.clear();
   ToRefresh.clear();
   Registering.clear();
@@ -225,24 +224,24 @@
       [&](Endpoint Caller, const HeldFlow &) { ToRefresh.push_back(Caller); });
 }
 
-// Whoever suspected this agent may have placed its flows elsewhere. Once it is
-// trusted again, all flows are registered anew, which shows the conflicts.
-void Flows::State::noteSuspicion(const wire::ControlMessage &Value) {
-  if (!Value.has_heartbeat())
-    return;
-  const AgentId Sender{Value.sender().id()};
-  const auto &Suspects = Value.heartbeat().suspects();
-  const bool Suspected =
-      std::any_of(Suspects.begin(), Suspects.end(), [&](const wire::Agent &A) {
-        return wire::fromWire(A) == Context.self();
-      });
-  const auto It = std::find(SuspectedBy.begin(), SuspectedBy.end(), Sender);
-  if (Suspected && It == SuspectedBy.end())
-    SuspectedBy.push_back(Sender);
-  if (Suspected || It == SuspectedBy.end())
-    return;
-  SuspectedBy.erase(It);
-  registerAll();
+// A peer that found this agent not usable may have placed its flows elsewhere:
+// registering them anew shows the conflicts.
+void Flows::State::noteLapses(const wire::ControlMessage &Value) {
+  const AgentRef Sender = wire::fromWire(Value.sender());
+  for (const wire::Lapse &Lapse : Value.heartbeat().lapses()) {
+    uint32_t &Seen = LapsesSeen[Sender];
+    if (wire::fromWire(Lapse.agent()) != Context.self() ||
+        Lapse.count() <= Seen)
+      continue;
+    Seen = Lapse.count();
+    Held.forEach([&](Endpoint Caller, HeldFlow &Flow) {
+      const Peer *Home = Others.homeOf(Caller);
+      if (!Home || Home->Entry.Agent != Sender)
+        return;
+      Flow.HomeTag = 0;
+      Unregistered.push_back(Caller);
+    });
+  }
 }
 
 } // namespace dragonflystall
--- a/src/flows/home.cpp
+++ b/src/flows/home.cpp
@@ -22,8 +22,9 @@
   const Peer *Holder = Entry ? Others.usable(Entry->Holder) : nullptr;
   AgentId Except = AgentId::None;
   if (Trusted && Holder) {
-    const bool Refused =
-        Packet.Header.Placed && Packet.From == Holder->Entry.Data;
+    const bool Refused = Packet.Header.Placed &&
+                         Packet.Header.Holder == Holder->Entry.Agent.Id &&
+                         Packet.From == Holder->Entry.Data;
     if (!Refused) {
       toHolder(std::move(Packet), Entry->Holder, Now, Out);
       return;
@@ -100,7 +101,9 @@
   const AgentRef Loser = Entry->Holder;
   know(Caller, Holder, Accepted, Now);
   if (Loser == Context.self()) {
-    if (Held.find(Caller))
+    // A flow on its way to its successor is left to the hand-over.
+    const HeldFlow *Flow = Held.find(Caller);
+    if (Flow && Flow->Batch == 0)
       giveUp(Caller, Now, Out);
     return std::nullopt;
   }
--- a/src/flows/packets.cpp
+++ b/src/flows/packets.cpp
@@ -85,8 +85,10 @@
   const Endpoint Caller = Packet.Header.Caller;
   const DirectoryEntry *Entry = Known.find(Caller);
   const Peer *Home = Others.homeOf(Caller);
-  if (Home && Home->Self && Entry && Entry->Holder != Context.self()) {
-    routeAsHome(std::move(Packet), Now, Out);
+  const bool Elsewhere =
+      Home && Home->Self && Entry && Entry->Holder != Context.self();
+  if (Packet.Header.Holder != Context.self().Id || Elsewhere) {
+    toHome(std::move(Packet), Now, Out);
     return;
   }
   if (mayAccept(Caller)) {
@@ -97,11 +99,18 @@
                                      Context.flow(Caller), Context.self().Id));
   const Peer *Placer = Others.byData(Packet.From);
   if (Placer && !Placer->Self)
-    pass(std::move(Packet), *Placer, true, Out);
+    giveBack(std::move(Packet), *Placer, Out);
   else
     toHome(std::move(Packet), Now, Out);
 }
 
+void Flows::State::giveBack(AgentPacket Packet, const Peer &Placer,
+                            FlowsOutput &Out) {
+  pass(std::move(Packet), Placer, true, Out);
+  if (auto *Sent = std::get_if<SendDatagram>(&Out.Actions.back()))
+    Sent->Header.Holder = Context.self().Id;
+}
+
 void Flows::State::toHome(AgentPacket Packet, TimePoint Now, FlowsOutput &Out) {
   const Peer *Home = Others.homeOf(Packet.Header.Caller);
   if (!Home)
@@ -121,6 +130,7 @@
   }
   ++H.Hops;
   H.Placed = Placed;
+  H.Holder = Placed ? To.Entry.Agent.Id : AgentId::None;
   H.RosterVersion = std::max(H.RosterVersion, Others.roster().Version);
   Out.Actions.emplace_back(SendDatagram{To.Entry.Data, H, Packet.Payload});
 }
@@ -154,6 +164,8 @@
                     ParkedBytes + Packet.Payload.size() > MaxParkedBytes;
   if (Full)
     return false;
+  // If it came back refused, that is dealt with.
+  Packet.Header.Placed = false;
   ++ParkedPackets;
   ParkedBytes += Packet.Payload.size();
   Into.push_back(std::move(Packet));
--- a/src/flows/peers.cpp
+++ b/src/flows/peers.cpp
@@ -218,7 +218,16 @@
   return P.Entry.Phase == AgentPhase::Serving && !P.Leaving && !P.Suspected;
 }
 
+void Peers::countLapses() {
+  for (Peer &P : All_) {
+    const bool Usable = usable(P.Entry.Agent) != nullptr;
+    P.Lapses += P.Usable && !Usable ? 1 : 0;
+    P.Usable = Usable;
+  }
+}
+
 void Peers::refreshView() {
+  countLapses();
   uint64_t Hash = ViewSeed;
   for (const Peer &P : All_) {
     if (!mayBeHome(P))
--- a/src/flows/peers.h
+++ b/src/flows/peers.h
@@ -33,6 +33,9 @@
   bool Heard = false;
   bool Suspected = false;
   bool Leaving = false; ///< Said so in a heartbeat.
+  /// In the last view; Lapses counts how often that ended.
+  bool Usable = true;
+  uint32_t Lapses = 0;
   TimePoint LastHeard;
   TimePoint SuspectedSince;
   TimePoint RefusedAt;
@@ -110,6 +113,7 @@
   bool Superseded_ = false;
 
   bool mayBeHome(const Peer &P) const;
+  void countLapses();
   Peer carryOver(const RosterEntry &Entry, TimePoint Now) const;
   bool restarted(Peer &P, const wire::ControlMessage &Value, TimePoint Now);
   void takeLoad(Peer &P, const wire::Heartbeat &Value, TimePoint Now);
--- a/src/flows/state.h
+++ b/src/flows/state.h
@@ -130,8 +130,9 @@
   std::map<uint64_t, RegisterBatch> Registering;
   uint64_t ScannedView = 0;
   TimePoint NextRefresh = TimePoint::min();
-  /// Peers that said they suspect this agent.
-  std::vector<AgentId> SuspectedBy;
+  /// Per peer, the last count of lapses of this agent that was acted on.
+  std::map<AgentRef, uint32_t> LapsesSeen;
+  bool WasListed = false;
 
   // As a home.
   Directory Known;
@@ -145,7 +146,8 @@
 
   // Leaving.
   bool StopWanted = false;
-  TimePoint LeavingSince;
+  /// When an agent was last known that might take flows.
+  TimePoint LastSuccessor;
   /// Since when no flow is left here, while stopping.
   std::optional<TimePoint> EmptySince;
   TimePoint LastMoved = TimePoint::min();
@@ -169,6 +171,7 @@
   bool forwardMoved(AgentPacket &Packet, FlowsOutput &Out);
   void onPlaced(AgentPacket Packet, TimePoint Now, FlowsOutput &Out);
   void pass(AgentPacket Packet, const Peer &To, bool Placed, FlowsOutput &Out);
+  void giveBack(AgentPacket Packet, const Peer &Placer, FlowsOutput &Out);
   void toHome(AgentPacket Packet, TimePoint Now, FlowsOutput &Out);
   void refuse(const AgentPacket &Packet, FlowsOutput &Out);
   void drop(const AgentPacket &Packet, std::string_view Why, FlowsOutput &Out);
@@ -223,7 +226,7 @@
   void retryRegisters(TimePoint Now, FlowsOutput &Out);
   bool registered() const;
   void sweepHeld(TimePoint Now, FlowsOutput &Out);
-  void noteSuspicion(const wire::ControlMessage &Value);
+  void noteLapses(const wire::ControlMessage &Value);
 
   // handover.cpp
   void handOver(TimePoint Now, FlowsOutput &Out);
