--- /dev/null
+++ b/src/requests/delivery.cpp
@@ -0,0 +1,77 @@
+// Gives answers to callers: piggybacked on the acknowledgement while that is
+// still open, else as a message of their own.
+#include "state.h"
+
+#include <algorithm>
+
+namespace dragonflystall {
+
+namespace {
+
+/// A caller retransmits after 2 s; an acknowledgement well before stops it.
+constexpr Duration AcknowledgeAfter = 100ms;
+/// A stock caller (libcoap 4.3.1) fetches the later blocks of a GET's answer
+/// only if the first came with the acknowledgement, so that waits for longer.
+constexpr Duration AcknowledgeGetAfter = 1500ms;
+
+Duration acknowledgeAfter(Code Method) {
+  return Method == Code::Get ? AcknowledgeGetAfter : AcknowledgeAfter;
+}
+
+} // namespace
+
+void Requests::State::deliver(const FlowKey &Flow, ReplyTo To,
+                              const Answer &Result, bool WithTicket,
+                              TimePoint Now, AgentActions &Out) {
+  Message Value;
+  describe(Result, Value);
+  const Block First = To.Block2.value_or(Block());
+  const size_t Size = std::min(First.Size, MaxBlockBytes);
+  if (Result.bytes() > Size) {
+    Answers.hold(To.Asked, Result, Now);
+    Answers.cut(To.Asked, {0, false, static_cast<uint16_t>(Size)}, Now, Value);
+  } else if (Result.Body) {
+    Value.Payload = *Result.Body;
+  }
+  if (WithTicket)
+    Value.Echo = Tickets.issue(Flow, Service.TicketLifetime, Now);
+  send(Flow, To, std::move(Value), Now, Out);
+}
+
+/// Addresses the answer, records it for duplicates of its request and sends.
+void Requests::State::send(const FlowKey &Flow, const ReplyTo &To,
+                           Message Value, TimePoint Now, AgentActions &Out) {
+  const bool Confirmable = To.Type == MessageType::Confirmable;
+  Value.Token = To.Token;
+  Value.Block1 = To.Block1;
+  Value.Type =
+      Confirmable ? MessageType::Acknowledgement : MessageType::NonConfirmable;
+  Value.MessageId = Confirmable ? To.MessageId : Replies.nextMessageId();
+  Recent.finish(Flow, To.Token, To.MessageId, Value);
+  if (!Confirmable || !To.Acknowledged) {
+    Replies.send(To.Header, std::move(Value), Out);
+    return;
+  }
+  Value.Type = MessageType::Confirmable;
+  Value.MessageId = Replies.nextMessageId();
+  Replies.sendReliably(To.Header, std::move(Value), Now, Out);
+}
+
+void Requests::State::acknowledge(ReplyTo &To, AgentActions &Out) {
+  if (To.Type != MessageType::Confirmable)
+    return;
+  To.Acknowledged = true;
+  Message Empty;
+  Empty.Type = MessageType::Acknowledgement;
+  Empty.MessageId = To.MessageId;
+  Replies.send(To.Header, Empty, Out);
+}
+
+void Requests::State::acknowledgeSlow(TimePoint Now, AgentActions &Out) {
+  for (auto &[Id, Each] : Jobs)
+    for (ReplyTo &To : Each.Callers)
+      if (!To.Acknowledged && Now - To.At >= acknowledgeAfter(Each.Work.Method))
+        acknowledge(To, Out);
+}
+
+} // namespace dragonflystall
