--- a/src/requests/ticketbook.cpp
+++ b/src/requests/ticketbook.cpp
@@ -71,7 +71,8 @@
     Result.Expiry = TimePoint(std::chrono::milliseconds(Said->ExpiryMs));
   } else {
     const Authority *Granted = authority(Of, Said->Issuer);
-    if (Granted == nullptr || !checkTicket(Bytes, Granted->Key))
+    if (Granted == nullptr || Said->Counter >= Granted->Below ||
+        !checkTicket(Bytes, Granted->Key))
       return Result;
     FloorMs = Granted->FloorMs;
     Result.Expiry =
--- a/src/requests/ticketbook.h
+++ b/src/requests/ticketbook.h
@@ -66,6 +66,7 @@
     TimePoint TakenAt;
     uint64_t IssuerNowMs = 0; ///< The issuer's clock at TakenAt.
     uint64_t FloorMs = 0;
+    uint64_t Below = 0; ///< Higher counters stayed with the issuer.
     TimePoint Until;
   };
   struct FlowTickets {
--- a/src/requests/tickettransfer.cpp
+++ b/src/requests/tickettransfer.cpp
@@ -58,6 +58,7 @@
   Result.set_lifetime_ms(leftMs(NewestExpiry_, Now));
   Result.set_issuer_now_ms(millis(Now));
   Result.set_floor_ms(FloorMs_);
+  Result.set_below(NextCounter_);
   return Result;
 }
 
@@ -81,6 +82,7 @@
     Out.set_issuer_now_ms(Each.IssuerNowMs + millis(Now) -
                           millis(Each.TakenAt));
     Out.set_floor_ms(Each.FloorMs);
+    Out.set_below(Each.Below);
   }
   for (wire::TicketAuthority &Out : *Into.mutable_authorities())
     for (const TicketUse &Use : Of.Uses)
@@ -136,6 +138,7 @@
     Granted.TakenAt = Now;
     Granted.IssuerNowMs = From.issuer_now_ms();
     Granted.FloorMs = From.floor_ms();
+    Granted.Below = From.below();
     Granted.Until =
         Now + std::chrono::milliseconds(From.lifetime_ms()) + RecordLifetime;
     std::erase_if(Into.Authorities,
