--- a/src/platform/linkcore.cpp
+++ b/src/platform/linkcore.cpp
@@ -255,10 +255,11 @@
                                               TimePoint Now) const {
   switch (Which) {
   case LinkChannel::Settings:
+    // The first answer comes at once, also when nothing is stored yet.
     return StoreCall{.Kind = StoreCallKind::Watch,
                      .Key = std::string(SettingsPrefix),
                      .Version = SettingsSince_,
-                     .Wait = WatchWait};
+                     .Wait = SettingsKnown_ ? WatchWait : Duration{}};
   case LinkChannel::Rosters:
     if (const auto Scope = rosterScope(); Scope && SettingsKnown_)
       return StoreCall{.Kind = StoreCallKind::Watch,
