Let a demo have loopback addresses of its own

Cause: two demos at once shared addresses, and each took the other's platform for its own: 0% to 53% of calls served and promises broken in both reports. No functional change.

--- a/scripts/lib/deployment.sh
+++ b/scripts/lib/deployment.sh
@@ -3,7 +3,9 @@
 # shellcheck shell=bash
 
 declare -A pids=()  # process name -> pid, only of processes started here
-platform=127.1.0.1:9000
+# The first half of every address: another one for a second demo at the time.
+net=${DRAGONFLYSTALL_NET:-127.1}
+platform=$net.0.1:9000
 cold_seconds=4
 
 choose_deployment() {
@@ -19,17 +21,17 @@
   deployment=$1 connections=2000
   # Each upstream bears 100 requests a second, whatever its slots.
   service_ms=$((slots * 10))
-  service_ips=(127.1.100.1 127.1.100.2)
+  service_ips=($net.100.1 $net.100.2)
 }
 
 # Ten agents over three zones; the first seven serve the first service.
 agent_zone() { echo $(($1 % 3)); }
-agent_ip() { echo "127.1.$(($1 % 3 + 1)).$((11 + $1 / 3))"; }
+agent_ip() { echo "$net.$(($1 % 3 + 1)).$((11 + $1 / 3))"; }
 agent_service() { echo $(($1 < 7 ? 0 : 1)); }
 agent_name() {
   echo "${zones[$(agent_zone "$1")]}/${services[$(agent_service "$1")]}-$1"
 }
-balancer_ip() { echo "127.1.$(($1 + 1)).1"; }
+balancer_ip() { echo "$net.$(($1 + 1)).1"; }
 balancer_name() { echo "${zones[$1]}/balancer-$1"; }
 
 host_json() { # NAME ZONE IP EXTRA
@@ -37,7 +39,7 @@
 {"name": "$1", "zone": "$2",
  "data": "$3:7000", "control": "$3:7001", "admin": "$3:7002",
  "platform": ["$platform"],
- "peers": ["127.1.1.1:7001", "127.1.2.1:7001", "127.1.3.1:7001"],
+ "peers": ["$net.1.1:7001", "$net.2.1:7001", "$net.3.1:7001"],
  $4}
 JSON
 }
@@ -117,7 +119,7 @@
 start_fabric() {
   start fabric "$bin/standin-fabric" --seed 1 \
     --service "${service_ips[0]}:5683" --service "${service_ips[1]}:5683" \
-    --entry 127.1.1.1:7003 --entry 127.1.2.1:7003 --entry 127.1.3.1:7003
+    --entry $net.1.1:7003 --entry $net.2.1:7003 --entry $net.3.1:7003
 }
 
 start_all() {
@@ -136,7 +138,8 @@
 }
 
 apply_file() { # TEAM FILE
-  "$bin/dragonflystall" apply "$1" "contrib/deployments/$deployment/$2" \
+  sed "s/127\.1\./$net./g" "contrib/deployments/$deployment/$2" >"$work/$2"
+  "$bin/dragonflystall" apply "$1" "$work/$2" \
     --platform "$platform" >>"$work/apply.out"
 }
 
