Try higher limits patiently, and measure admission, tickets and runs

A limit is tried after four rounds of completions at the one below; one that fails soon is tried again after twice as many, up to 64. After a cut, one more sign of cold is enough for the next.

--- /dev/null
+++ b/bench/admitbench.cpp
@@ -0,0 +1,137 @@
+// Admission against an upstream that starts cold, warms with the work that it
+// completes, and turns cold once more without warning; compared with always
+// using all configured slots.
+#include "bench.h"
+
+#include "admission/admission.h"
+
+#include <chrono>
+#include <fmt/format.h>
+#include <queue>
+
+namespace dragonflystall::bench {
+
+namespace {
+
+constexpr uint32_t Slots = 4;
+constexpr Duration ServiceTime = 5ms;
+constexpr Duration ColdTime = 5s;
+constexpr int ColdSlowdown = 2;
+constexpr int OverloadSlowdown = 20;
+
+/// Bears one request when cold and all slots when warm; what it gets beyond
+/// that takes much longer, and does not warm it.
+class ColdUpstream {
+public:
+  explicit ColdUpstream(uint64_t Seed) : Random_(Seed) {}
+
+  Duration begin() {
+    const bool Over = ++Running_ > bears();
+    Overloads_ += Over;
+    std::uniform_real_distribution<double> Spread(0.5, 1.5);
+    const auto Work = std::chrono::duration_cast<Duration>(
+        ServiceTime * Spread(Random_) * (Warmth_ < 1 ? ColdSlowdown : 1));
+    return Over ? Work * OverloadSlowdown : Work;
+  }
+  void end() {
+    const bool Over = Running_-- > bears();
+    const double Share = std::chrono::duration<double>(ServiceTime) /
+                         std::chrono::duration<double>(ColdTime);
+    if (!Over)
+      Warmth_ = std::min(1.0, Warmth_ + Share * ColdSlowdown / bears());
+  }
+  void chill() { Warmth_ = 0; }
+  uint64_t overloads() const { return Overloads_; }
+
+private:
+  uint32_t bears() const {
+    return 1 + static_cast<uint32_t>(Warmth_ * (Slots - 1));
+  }
+  Random Random_;
+  double Warmth_ = 0;
+  uint32_t Running_ = 0;
+  uint64_t Overloads_ = 0;
+};
+
+struct Ended {
+  TimePoint At;
+  TimePoint Started;
+  uint32_t Concurrency = 0;
+  bool operator<(const Ended &Other) const { return At > Other.At; }
+};
+
+struct Load {
+  uint64_t Completed = 0;
+  uint64_t Overloads = 0;
+  uint64_t Signature = 0;
+  double Seconds = 0;
+};
+
+/// Demand never ends: as many requests run as the policy lets in.
+Load drive(bool WithAdmission) {
+  constexpr Duration Length = 60s;
+  constexpr Duration ColdAgainAt = 30s;
+  constexpr Duration TickInterval = 100ms;
+  ColdUpstream Upstream(1);
+  Admission Limit(Slots);
+  std::priority_queue<Ended> Running;
+  AgentActions Out;
+  Load Result;
+  TimePoint Now{1min};
+  TimePoint NextTick = Now;
+  const TimePoint End = Now + Length;
+  bool Chilled = false;
+  const auto Start = std::chrono::steady_clock::now();
+  while (Now < End) {
+    while (Running.size() < (WithAdmission ? Limit.limit() : Slots)) {
+      const auto Concurrency = static_cast<uint32_t>(Running.size() + 1);
+      Running.push({Now + Upstream.begin(), Now, Concurrency});
+    }
+    if (Running.top().At >= NextTick) {
+      Now = NextTick;
+      NextTick += TickInterval;
+      auto Copy = Running;
+      for (; WithAdmission && !Copy.empty(); Copy.pop())
+        Limit.onRunning(Copy.top().Started, Now, Out);
+      if (!Chilled && End - Now <= ColdAgainAt) {
+        Upstream.chill();
+        Chilled = true;
+      }
+      Out.clear();
+      continue;
+    }
+    const Ended First = Running.top();
+    Running.pop();
+    Now = First.At;
+    Upstream.end();
+    ++Result.Completed;
+    Admission::Sample Sample;
+    Sample.Outcome = UpstreamOutcome::Answered;
+    Sample.Started = First.Started;
+    Sample.Concurrency = First.Concurrency;
+    Limit.onOutcome(Sample, Now, Out);
+    Result.Signature = mix(Result.Signature, Limit.limit());
+  }
+  const std::chrono::duration<double> Took =
+      std::chrono::steady_clock::now() - Start;
+  Result.Seconds = Took.count();
+  Result.Overloads = Upstream.overloads();
+  return Result;
+}
+
+} // namespace
+
+Outcome admitToColdUpstream() {
+  const Load With = drive(true);
+  const Load Without = drive(false);
+  Outcome Result;
+  Result.Decisions = With.Completed;
+  Result.Seconds = With.Seconds;
+  Result.Signature = mix(With.Signature, With.Overloads);
+  Result.Remark = fmt::format(
+      "60 s, cold twice: {} completed, {} too many; all slots at once: {}, {}",
+      With.Completed, With.Overloads, Without.Completed, Without.Overloads);
+  return Result;
+}
+
+} // namespace dragonflystall::bench
--- a/bench/bench.cpp
+++ b/bench/bench.cpp
@@ -16,6 +16,9 @@
     Workload{"steer-hit-500000", steerHitMany},
     Workload{"steer-miss", steerMiss},
     Workload{"join-moves", joinMoves},
+    Workload{"admit", admitToColdUpstream},
+    Workload{"ticket", issueAndCheckTickets},
+    Workload{"run", runRequests},
 };
 
 constexpr std::array Measurements = {
--- a/bench/bench.h
+++ b/bench/bench.h
@@ -52,6 +52,12 @@
 Outcome steerHitMany();
 Outcome steerMiss();
 Outcome joinMoves();
+// bench/admitbench.cpp
+Outcome admitToColdUpstream();
+// bench/ticketbench.cpp
+Outcome issueAndCheckTickets();
+// bench/runbench.cpp
+Outcome runRequests();
 // bench/forwardbench.cpp
 bool measureForwarding();
 // bench/capacitybench.cpp
--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -78,18 +78,25 @@
     return;
   if (++Completions_ < completionsToGrow())
     return;
+  // The limit held for all its rounds, so trying it was right.
+  if (Limit_ >= FailedLimit_) {
+    FailedLimit_ = 0;
+    Patience_ = std::max(Patience_ / 2, MinPatience);
+  }
   setLimit(Limit_ + 1, Out);
 }
 
 uint32_t Admission::completionsToGrow() const {
   const bool Caution = !Hint_.Healthy || Hint_.Load >= FullLoad;
-  return Limit_ * (Caution ? CautionFactor : 1);
+  return Limit_ * Patience_ * (Caution ? CautionFactor : 1);
 }
 
 void Admission::shrink(uint32_t To, TimePoint Now, AgentActions &Out) {
   LastCut_ = Now;
   const uint32_t Target = std::max(To, 1U);
-  Slowness_ = 0;
+  // Still suspect: one more sign is enough for the next cut.
+  Slowness_ = ColdSlowness - FarWeight;
+  learnFromCut();
   Completions_ = 0;
   if (Target >= Limit_)
     return;
@@ -100,6 +107,15 @@
   setLimit(Target, Out);
 }
 
+/// A limit that fails soon after it was tried is tried again later each time,
+/// so that a slow warm-up meets few requests too many.
+void Admission::learnFromCut() {
+  if (Limit_ == 1 || Completions_ >= Limit_ * MinPatience)
+    return;
+  FailedLimit_ = Limit_;
+  Patience_ = std::min(Patience_ * 2, MaxPatience);
+}
+
 void Admission::setLimit(uint32_t To, AgentActions &Out) {
   Limit_ = To;
   Completions_ = 0;
--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -37,9 +37,13 @@
   void onHint(const UpstreamHint &Hint) { Hint_ = Hint; }
 
 private:
+  static constexpr uint32_t MinPatience = 4;
+  static constexpr uint32_t MaxPatience = 64;
+
   void onLatency(const Sample &What, TimePoint Now, AgentActions &Out);
   void grow(const Sample &What, AgentActions &Out);
   void shrink(uint32_t To, TimePoint Now, AgentActions &Out);
+  void learnFromCut();
   void setLimit(uint32_t To, AgentActions &Out);
   uint32_t completionsToGrow() const;
 
@@ -48,6 +52,10 @@
   uint32_t Limit_ = 1;
   /// Completions at normal latency and full concurrency since the last change.
   uint32_t Completions_ = 0;
+  /// Rounds at a limit before the next one is tried.
+  uint32_t Patience_ = MinPatience;
+  /// The limit that was tried last and was too much; 0 when it has held.
+  uint32_t FailedLimit_ = 0;
   /// How strongly recent latencies say that the upstream is cold.
   uint32_t Slowness_ = 0;
   /// Requests that started before the last cut do not count a second time.
