--- a/src/requests/execution.cpp
+++ b/src/requests/execution.cpp
@@ -1,6 +1,8 @@
 // The queue and the runs at the local upstream, and how a job ends.
 #include "state.h"
 
+#include "types/check.h"
+
 #include <algorithm>
 
 namespace dragonflystall {
@@ -75,6 +77,8 @@
 }
 
 void Requests::State::start(Job &Value, TimePoint Now, AgentActions &Out) {
+  check(Runs.size() < std::max(Self.Self.Slots, 1U),
+        "no upstream gets more than its slots");
   const RunId Id{NextRun++};
   Value.Phase = JobPhase::Running;
   Value.Run = Id;
@@ -167,6 +171,8 @@
   if (--Busy[Flow] == 0)
     Busy.erase(Flow);
   const bool NotRun = Result.Verdict == Verdict::NotRun;
+  check(!NotRun || Done.Run == RunId::None,
+        "what is at the upstream is never said not to run");
   if (Done.UsedTicket) {
     Tickets.settle(Flow, *Done.UsedTicket, Result);
     if (NotRun)
--- a/src/requests/ticketbook.cpp
+++ b/src/requests/ticketbook.cpp
@@ -3,6 +3,7 @@
 #include "ticketbook.h"
 
 #include "ticketlimits.h"
+#include "types/check.h"
 
 #include <algorithm>
 
@@ -92,7 +93,10 @@
 }
 
 void TicketBook::use(const FlowKey &Flow, const TicketCheck &Checked) {
-  addUse(Flows_[Flow], Flow, {Checked.Id, Checked.Expiry, std::nullopt});
+  FlowTickets &Of = Flows_[Flow];
+  dragonflystall::check(find(Of.Uses, Checked.Id) == nullptr,
+                        "a ticket is used once");
+  addUse(Of, Flow, {Checked.Id, Checked.Expiry, std::nullopt});
 }
 
 void TicketBook::addUse(FlowTickets &Into, const FlowKey &Flow, TicketUse Use) {
