--- a/bench/admitbench.cpp
+++ b/bench/admitbench.cpp
@@ -6,6 +6,7 @@
 #include "admission/admission.h"
 
 #include <chrono>
+#include <cmath>
 #include <fmt/format.h>
 #include <queue>
 
@@ -17,28 +18,32 @@
 constexpr Duration ServiceTime = 5ms;
 constexpr Duration ColdTime = 5s;
 constexpr int ColdSlowdown = 2;
-constexpr int OverloadSlowdown = 20;
+constexpr double OverloadExponent = 3;
 
 /// Bears one request when cold and all slots when warm; what it gets beyond
-/// that takes much longer, and does not warm it.
+/// that slows it by a power of how much too much it is.
 class ColdUpstream {
 public:
   explicit ColdUpstream(uint64_t Seed) : Random_(Seed) {}
 
   Duration begin() {
-    const bool Over = ++Running_ > bears();
+    const uint32_t Bears = bears();
+    const bool Over = ++Running_ > Bears;
     Overloads_ += Over;
     std::uniform_real_distribution<double> Spread(0.5, 1.5);
     const auto Work = std::chrono::duration_cast<Duration>(
         ServiceTime * Spread(Random_) * (Warmth_ < 1 ? ColdSlowdown : 1));
-    return Over ? Work * OverloadSlowdown : Work;
+    if (!Over)
+      return Work;
+    const double Ratio = static_cast<double>(Running_) / Bears;
+    return std::chrono::duration_cast<Duration>(
+        Work * std::pow(Ratio, OverloadExponent));
   }
   void end() {
-    const bool Over = Running_-- > bears();
+    --Running_;
     const double Share = std::chrono::duration<double>(ServiceTime) /
                          std::chrono::duration<double>(ColdTime);
-    if (!Over)
-      Warmth_ = std::min(1.0, Warmth_ + Share * ColdSlowdown / bears());
+    Warmth_ = std::min(1.0, Warmth_ + Share * ColdSlowdown / bears());
   }
   void chill() { Warmth_ = 0; }
   uint64_t overloads() const { return Overloads_; }
--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -8,6 +8,9 @@
 /// Slowness that means cold: two answers far over the baseline in a row, or
 /// three among a few more. Each normal answer takes some back.
 constexpr uint32_t FarWeight = 3;
+/// Merely slow answers say less, but on trial they are what tells.
+constexpr uint32_t SlowWeight = 1;
+constexpr uint32_t SlowOnTrialWeight = 2;
 constexpr uint32_t NormalRelief = 1;
 constexpr uint32_t ColdSlowness = 5;
 /// A request that runs for longer is a sign before it ends.
@@ -57,15 +60,16 @@
       Baseline_.judge(What.Method, What.Bytes, Now - What.Started);
   if (What.Started < LastCut_)
     return;
-  if (Judged == Speed::FarOver) {
-    Slowness_ += FarWeight;
-    if (onTrial() || Slowness_ >= ColdSlowness)
-      cut(Now, Out);
+  if (Judged == Speed::Normal) {
+    Slowness_ -= std::min(Slowness_, NormalRelief);
+    grow(What, Out);
     return;
   }
-  Slowness_ -= std::min(Slowness_, NormalRelief);
-  if (Judged == Speed::Normal)
-    grow(What, Out);
+  const bool Far = Judged == Speed::FarOver;
+  const uint32_t Slow = onTrial() ? SlowOnTrialWeight : SlowWeight;
+  Slowness_ += Far ? FarWeight : Slow;
+  if ((Far && onTrial()) || Slowness_ >= ColdSlowness)
+    cut(Now, Out);
 }
 
 void Admission::onRunning(TimePoint Started, TimePoint Now, AgentActions &Out) {
