--- a/src/steering/balancercore_test.cpp
+++ b/src/steering/balancercore_test.cpp
@@ -14,8 +14,7 @@
 const Endpoint TagsAddress = serviceAddress(1);
 const Endpoint ReceiptsAddress = serviceAddress(2);
 
-class BalancerCoreTest : public ::testing::Test {
-protected:
+struct BalancerCoreTest : ::testing::Test {
   BalancerCoreTest() {
     give(update(InForce));
     give(RosterUpdate{roster("tags", 1, TagAgents)});
--- a/src/steering/balancerrun_test.cpp
+++ b/src/steering/balancerrun_test.cpp
@@ -5,8 +5,9 @@
 #include "steering/balancercore.h"
 #include "steering/steeringworld.h"
 
-#include <cstdlib>
 #include <gtest/gtest.h>
+
+#include <cstdlib>
 #include <map>
 
 namespace dragonflystall {
--- a/standins/fabric.cpp
+++ b/standins/fabric.cpp
@@ -1,15 +1,19 @@
 // Stand-in for the platform's fabric: takes callers' datagrams on the service
 // addresses and hands each one to a balancer drawn at random, with the caller's
 // address in a PROXY header; answers go back to their callers. It can drop,
-// duplicate and delay datagrams in both directions.
+// duplicate and delay datagrams in both directions, and leave out balancers
+// whose readiness check fails.
 #include "shell/loop.h"
 #include "shell/udpsocket.h"
 #include "wire/proxy.h"
 
+#include <algorithm>
 #include <boost/program_options.hpp>
 #include <fmt/format.h>
+#include <httplib.h>
 #include <map>
 #include <random>
+#include <thread>
 
 using namespace dragonflystall;
 
@@ -24,6 +28,8 @@
 struct Options {
   std::vector<Endpoint> Services;
   std::vector<Endpoint> Entries;
+  /// Balancers' admin addresses in the order of Entries; empty: no checks.
+  std::vector<Endpoint> Checks;
   Endpoint Local; ///< Where datagrams to balancers come from.
   uint64_t Seed = 1;
   Faults Switches;
@@ -49,6 +55,8 @@
   void onBalancer(std::string_view Bytes);
   void pass(Transit Datagram);
   void sendDue();
+  void startChecks();
+  size_t anyEntry();
   bool chance(double Share) { return Share > 0 && Unit_(Engine_) < Share; }
 
   Options Given_;
@@ -59,8 +67,22 @@
   std::mt19937_64 Engine_{Given_.Seed};
   std::uniform_real_distribution<> Unit_{0.0, 1.0};
   std::multimap<TimePoint, Transit> Delayed_;
+  /// Parallel to the entries. All are sprayed to when none is ready.
+  std::vector<bool> Ready_ = std::vector<bool>(Given_.Entries.size(), true);
+  std::vector<std::jthread> Checkers_;
 };
 
+constexpr Duration CheckPeriod = 200ms;
+
+bool isReady(Endpoint Admin) {
+  const std::string Text = toString(Admin);
+  httplib::Client Client("http://" + Text);
+  Client.set_connection_timeout(1);
+  Client.set_read_timeout(1);
+  const auto Answer = Client.Get("/readyz");
+  return Answer && Answer->status == 200;
+}
+
 UdpSocket *Fabric::bind(Endpoint Local) {
   auto Socket = UdpSocket::bind(Local);
   if (!Socket) {
@@ -96,6 +118,7 @@
 
 void Fabric::run() {
   Loop_.onStopSignal([this] { Loop_.stop(); });
+  startChecks();
   Loop_.every(1ms, [this] { sendDue(); });
   Loop_.afterRound([this] {
     for (const auto &Socket : Sockets_)
@@ -104,13 +127,37 @@
   Loop_.run();
 }
 
+// One thread for each balancer, so that one that hangs delays no other check.
+void Fabric::startChecks() {
+  for (size_t I = 0; I < Given_.Checks.size(); ++I)
+    Checkers_.emplace_back([this, I](const std::stop_token &Stop) {
+      while (!Stop.stop_requested()) {
+        const bool Ready = isReady(Given_.Checks[I]);
+        Loop_.post([this, I, Ready] { Ready_[I] = Ready; });
+        std::this_thread::sleep_for(CheckPeriod);
+      }
+    });
+}
+
+size_t Fabric::anyEntry() {
+  const size_t Count = Given_.Entries.size();
+  const auto ReadyCount =
+      static_cast<size_t>(std::count(Ready_.begin(), Ready_.end(), true));
+  const size_t Among = ReadyCount > 0 ? ReadyCount : Count;
+  std::uniform_int_distribution<size_t> Any(0, Among - 1);
+  size_t Skip = Any(Engine_);
+  for (size_t I = 0; I < Count; ++I)
+    if ((Ready_[I] || ReadyCount == 0) && Skip-- == 0)
+      return I;
+  return 0;
+}
+
 void Fabric::onCaller(Endpoint Service, Endpoint Caller,
                       std::string_view Bytes) {
-  std::uniform_int_distribution<size_t> Any(0, Given_.Entries.size() - 1);
   const wire::ProxyHeader Header = wire::encodeProxy(Caller, Service);
   std::string Datagram(wire::view(Header));
   Datagram.append(Bytes);
-  pass({Inner_, Given_.Entries[Any(Engine_)], std::move(Datagram)});
+  pass({Inner_, Given_.Entries[anyEntry()], std::move(Datagram)});
 }
 
 void Fabric::onBalancer(std::string_view Bytes) {
@@ -163,6 +210,7 @@
   namespace po = boost::program_options;
   std::vector<std::string> Services;
   std::vector<std::string> Entries;
+  std::vector<std::string> Checks;
   std::string Local;
   int64_t DelayMs = 0;
   Options Result;
@@ -172,6 +220,8 @@
       "service addresses, IP:PORT")(
       "entry", po::value(&Entries)->multitoken()->required(),
       "balancers' entry addresses, IP:PORT")(
+      "check", po::value(&Checks)->multitoken(),
+      "admin addresses, one for each entry: spray to ready balancers only")(
       "local", po::value(&Local)->default_value("127.1.0.2:7000"),
       "address towards the balancers")(
       "seed", po::value(&Result.Seed)->default_value(1), "random seed")(
@@ -188,6 +238,9 @@
   po::notify(Given);
   Result.Services = endpoints(Services);
   Result.Entries = endpoints(Entries);
+  Result.Checks = endpoints(Checks);
+  if (!Checks.empty() && Checks.size() != Entries.size())
+    throw std::invalid_argument("--check: one for each entry");
   Result.Local = endpoints({Local}).front();
   Result.Switches.Delay = std::chrono::milliseconds(DelayMs);
   return Result;
