--- a/bench/bench.cpp
+++ b/bench/bench.cpp
@@ -16,6 +16,8 @@
     Workload{"steer-hit-500000", steerHitMany},
     Workload{"steer-miss", steerMiss},
     Workload{"join-moves", joinMoves},
+    Workload{"settings-10", mergeSettings},
+    Workload{"settings-13000", mergeManySettings},
 };
 
 constexpr std::array Measurements = {
--- a/bench/bench.h
+++ b/bench/bench.h
@@ -43,6 +43,9 @@
 
 // bench/homebench.cpp
 Outcome findHome();
+// bench/settingsbench.cpp
+Outcome mergeSettings();
+Outcome mergeManySettings();
 // bench/observebench.cpp
 Outcome recordEvents();
 Outcome updateCounter();
--- a/src/platform/fakeplatform_test.h
+++ b/src/platform/fakeplatform_test.h
@@ -224,7 +224,7 @@
   }
 
   StoreAnswer apply(const StoreCall &Call) {
-    const StoreAnswer Answer = Store.call(Call);
+    StoreAnswer Answer = Store.call(Call);
     if (!isWrite(Call.Kind) || Answer.Status != StoreStatus::Done)
       return Answer;
     check(Call.Writer == "operator" || Marks_.insert(Call.Writer).second,
--- a/src/platform/link.cpp
+++ b/src/platform/link.cpp
@@ -185,7 +185,8 @@
 }
 
 void PlatformLink::State::carryOut(LinkCall &Call) {
-  Workers[static_cast<size_t>(Call.Channel)]->start(std::move(Call));
+  Worker &Maker = *Workers[static_cast<size_t>(Call.Channel)];
+  Maker.start(std::move(Call));
 }
 
 void PlatformLink::State::carryOut(const LinkAbandon &Abandon) {
@@ -216,8 +217,8 @@
   });
 }
 
-PlatformLink::PlatformLink(std::vector<Endpoint> Platform, std::string Writer,
-                           Listener Owner)
+PlatformLink::PlatformLink(const std::vector<Endpoint> &Platform,
+                           std::string Writer, Listener Owner)
     : State_(std::make_unique<State>(Platform, std::move(Writer),
                                      std::move(Owner))) {}
 
--- a/src/platform/link.h
+++ b/src/platform/link.h
@@ -28,7 +28,7 @@
     std::function<void(Event)> OnEvent;
   };
 
-  PlatformLink(std::vector<Endpoint> Platform, std::string Writer,
+  PlatformLink(const std::vector<Endpoint> &Platform, std::string Writer,
                Listener Owner);
   ~PlatformLink();
   PlatformLink(const PlatformLink &) = delete;
--- a/src/platform/linkcore_test.cpp
+++ b/src/platform/linkcore_test.cpp
@@ -23,7 +23,7 @@
   return Text ? std::strtoull(Text, nullptr, 10) : Otherwise;
 }
 
-Roster rosterOf(const std::string &Name, std::vector<uint32_t> Ids) {
+Roster rosterOf(const std::string &Name, const std::vector<uint32_t> &Ids) {
   Roster R;
   R.Service = serviceId("a", Name);
   R.Team = "a";
--- a/src/settings/hostsettings.cpp
+++ b/src/settings/hostsettings.cpp
@@ -150,6 +150,7 @@
 
 std::vector<Key> hostKeys() {
   std::vector<Key> Keys;
+  Keys.reserve(Fields.size());
   for (const HostField &F : Fields)
     Keys.push_back(F.Rule);
   return Keys;
--- a/src/settings/objects.cpp
+++ b/src/settings/objects.cpp
@@ -156,6 +156,7 @@
 
 template <typename Fields> std::vector<Key> keysOf(const Fields &Table) {
   std::vector<Key> Keys;
+  Keys.reserve(Table.size());
   for (const auto &F : Table)
     Keys.push_back(F.Rule);
   return Keys;
--- a/src/settings/schema_test.cpp
+++ b/src/settings/schema_test.cpp
@@ -165,7 +165,7 @@
 }
 
 /// A valid text with a few bytes changed, or any bytes at all.
-rc::Gen<std::string> mutated(std::string Text) {
+rc::Gen<std::string> mutated(const std::string &Text) {
   const auto Change = rc::gen::pair(rc::gen::inRange<size_t>(0, Text.size()),
                                     rc::gen::arbitrary<char>());
   const auto Changes =
--- a/src/settings/settingsview.cpp
+++ b/src/settings/settingsview.cpp
@@ -2,6 +2,7 @@
 #include "settings/settingsview.h"
 
 #include <array>
+#include <fmt/format.h>
 #include <xxhash.h>
 
 namespace dragonflystall {
@@ -117,7 +118,7 @@
     if (It == Refused_.end() || It->second != Reason)
       Events.push_back(eventOf(EventKind::SettingsRefused,
                                Entries_[Key].Newest.Stored.Version,
-                               Key + ": " + Reason));
+                               fmt::format("{}: {}", Key, Reason)));
     Refused[Key] = Reason;
   }
   Refused_ = std::move(Refused);
--- a/src/settings/settingsview_test.cpp
+++ b/src/settings/settingsview_test.cpp
@@ -23,6 +23,7 @@
 
 std::vector<EventKind> kindsOf(const std::vector<Event> &Events) {
   std::vector<EventKind> Kinds;
+  Kinds.reserve(Events.size());
   for (const Event &E : Events)
     Kinds.push_back(E.Kind);
   return Kinds;
@@ -191,7 +192,6 @@
 }
 
 RC_GTEST_PROP(SettingsView, TheOrderOfArrivalDoesNotMatter, ()) {
-  std::vector<StoredObject> Objects;
   // The newest object of each key, as a watch gives it to a fresh process.
   std::map<std::string, StoredObject> ByKey;
   const int Count = *rc::gen::inRange(1, 20);
@@ -199,6 +199,8 @@
     StoredObject Object = randomObject(static_cast<uint64_t>(I));
     ByKey[Object.Key] = std::move(Object);
   }
+  std::vector<StoredObject> Objects;
+  Objects.reserve(ByKey.size());
   for (const auto &[Key, Object] : ByKey)
     Objects.push_back(Object);
   SettingsView AtOnce;
--- a/standins/platform.cpp
+++ b/standins/platform.cpp
@@ -142,7 +142,7 @@
   }
   if (Call.Kind == StoreCallKind::Watch)
     return watch(Call, Held);
-  const StoreAnswer Answer = Store_.call(Call);
+  StoreAnswer Answer = Store_.call(Call);
   if (Answer.Status == StoreStatus::Conflict)
     ++Statistics_.Conflicts;
   if (isWrite(Call.Kind))
@@ -331,7 +331,7 @@
   serveSwitches(Server, Served, Connections);
 
   const std::string Address = toString(Listen);
-  if (!Server.bind_to_port(Address.substr(0, Address.find(':')).c_str(),
+  if (!Server.bind_to_port(Address.substr(0, Address.find(':')),
                            Listen.Port)) {
     fmt::print(stderr, "cannot listen on {}\n", Address);
     return 1;
