--- a/src/platform/linkcore_test.cpp
+++ b/src/platform/linkcore_test.cpp
@@ -238,6 +238,33 @@
   }
 }
 
+/// Calls on the platform, which docs/design/platform.md quotes.
+TEST(LinkCore, CallsGrowAsTheProcessesAndTheChanges) {
+  for (const size_t Count : {3U, 10U, 30U, 100U}) {
+    FakePlatform World(Count, DefaultSeed);
+    World.put("settings/zones/q", ZoneIn);
+    for (size_t I = 0; I < Count; ++I)
+      World.want(I, "x");
+    World.run(20s);
+    uint64_t Before = World.calls();
+    World.run(1000s);
+    const uint64_t Idle = World.calls() - Before;
+    Before = World.calls();
+    constexpr int Changes = 500;
+    for (int I = 0; I < Changes; ++I) {
+      World.put("settings/zones/q", I % 2 ? ZoneIn : ZoneOut);
+      World.run(2s);
+    }
+    const uint64_t Busy = World.calls() - Before;
+    fmt::print("{:>3} processes: {:.2f} calls/s idle, {:.2f} at one change "
+               "in 2 s\n",
+               Count, static_cast<double>(Idle) / 1000,
+               static_cast<double>(Busy) / 1000);
+    EXPECT_LE(Idle, Count * 201);
+    EXPECT_LE(Busy, Count * (Changes + 101));
+  }
+}
+
 TEST(LinkCore, TheSameSeedGivesTheSameRun) {
   const auto Signature = [] {
     FakePlatform World(3, DefaultSeed);
--- a/src/settings/exchange_test.cpp
+++ b/src/settings/exchange_test.cpp
@@ -186,5 +186,32 @@
   EXPECT_LE(All.bytes() - Before, 100 * All.size() * MaxDigestBytes);
 }
 
+/// Bytes a process sends, which docs/design/settings.md quotes.
+TEST(Exchange, BytesOfAProcessDoNotGrowWithTheNumberOfProcesses) {
+  for (const uint32_t Count : {3U, 10U, 30U, 100U}) {
+    Cluster All(Count, DefaultSeed);
+    for (size_t I = 0; I < All.size(); ++I)
+      All.at(I).View.merge({zone(1, "in")});
+    All.run(10);
+    constexpr int Rounds = 100;
+    uint64_t Before = All.bytes();
+    All.run(Rounds);
+    const uint64_t Idle = (All.bytes() - Before) / Count / Rounds;
+    Before = All.bytes();
+    constexpr uint64_t Changes = 100;
+    for (uint64_t I = 0; I < Changes; ++I) {
+      All.at(I % Count).View.merge({zone(2 + I, I % 2 ? "in" : "out")});
+      All.run(1);
+    }
+    All.run(10);
+    EXPECT_TRUE(All.allAgree());
+    const uint64_t Busy = (All.bytes() - Before) / Count / Changes;
+    fmt::print("{:>3} processes: {} bytes/s each idle, {} at one change/s\n",
+               Count, Idle, Busy);
+    EXPECT_LE(Idle, 100U);
+    EXPECT_LE(Busy, 1500U);
+  }
+}
+
 } // namespace
 } // namespace dragonflystall
