--- a/bench/bench.cpp
+++ b/bench/bench.cpp
@@ -19,6 +19,8 @@
     Workload{"admit", admitToColdUpstream},
     Workload{"ticket", issueAndCheckTickets},
     Workload{"run", runRequests},
+    Workload{"settings-10", mergeSettings},
+    Workload{"settings-13000", mergeManySettings},
 };
 
 constexpr std::array Measurements = {
