Weigh a new flow's holder by what it bears, and keep queues a small share

Cause: a queue made an agent look fuller by up to 8% of its capacity of 2,000 flows, over half of what it held; and a cold agent drew as many new flows as a warm one. Ruled out: stale counts (the demo's ramp places few flows a second). Change: the penalty is at most 5% of what is held; the draw is weighted by the share of its slots that an upstream bears now.

--- a/src/flows/peers.cpp
+++ b/src/flows/peers.cpp
@@ -286,6 +286,7 @@
     C.Capacity = Context_.capacity(P.Entry.Connections);
     C.Requests = Load.Running + Load.Queued;
     C.Limit = Load.Limit;
+    C.Slots = P.Entry.Slots;
     C.Near = P.Entry.Zone == Context_.Identity.Self.Zone;
     Result.push_back(C);
   }
--- a/src/flows/placement.cpp
+++ b/src/flows/placement.cpp
@@ -7,26 +7,35 @@
 
 namespace {
 
-/// A queue as long as the limit counts like this share of the capacity.
+/// A queue as long as the limit makes an agent look fuller by this share of
+/// what it holds, so that requests of a moment don't pull long flows apart.
 constexpr double QueuePenalty = 0.02;
-constexpr double MaxQueuePenalty = 0.08;
+constexpr double MaxQueuePenalty = 0.05;
 
 bool hasRoom(const Candidate &C) { return C.Flows < C.Capacity; }
 
+/// A share of the capacity that is as large as the share of its slots that the
+/// upstream bears now: a cold one gets new flows, though fewer.
+uint64_t weight(const Candidate &C) {
+  const uint64_t Slots = std::max<uint32_t>(1, C.Slots);
+  const uint64_t Borne = std::clamp<uint64_t>(C.Limit, 1, Slots);
+  return std::max<uint64_t>(1, C.Capacity * Borne / Slots);
+}
+
 /// Draws one of the candidates with room by weight, never Except.
 const Candidate *draw(std::span<const Candidate> Candidates, uint64_t Total,
                       const Candidate *Except, Random &Rng) {
   if (Except)
-    Total -= Except->Capacity;
+    Total -= weight(*Except);
   if (Total == 0)
     return nullptr;
   uint64_t Rest = Rng() % Total;
   for (const Candidate &C : Candidates) {
     if (!hasRoom(C) || &C == Except)
       continue;
-    if (Rest < C.Capacity)
+    if (Rest < weight(C))
       return &C;
-    Rest -= C.Capacity;
+    Rest -= weight(C);
   }
   return nullptr;
 }
@@ -37,13 +46,13 @@
   const double Held = static_cast<double>(C.Flows) / C.Capacity;
   const double Limit = std::max<uint32_t>(1, C.Limit);
   const double Excess = std::max(0.0, C.Requests / Limit - 1.0);
-  return Held + std::min(MaxQueuePenalty, Excess * QueuePenalty);
+  return Held * (1 + std::min(MaxQueuePenalty, Excess * QueuePenalty));
 }
 
 const Candidate *choose(std::span<const Candidate> Candidates, Random &Rng) {
   uint64_t Total = 0;
   for (const Candidate &C : Candidates)
-    Total += hasRoom(C) ? C.Capacity : 0;
+    Total += hasRoom(C) ? weight(C) : 0;
   const Candidate *First = draw(Candidates, Total, nullptr, Rng);
   if (!First)
     return nullptr;
--- a/src/flows/placement.h
+++ b/src/flows/placement.h
@@ -12,9 +12,10 @@
 struct Candidate {
   AgentRef Agent;
   uint32_t Flows = 0;    ///< Said last, plus what was placed since.
-  uint32_t Capacity = 0; ///< Flows that it may hold; its weight.
+  uint32_t Capacity = 0; ///< Flows that it may hold.
   uint32_t Requests = 0; ///< Running and queued.
   uint32_t Limit = 1;    ///< Requests that it bears at once.
+  uint32_t Slots = 1;    ///< Requests that it bears at once when warm.
   bool Near = false;     ///< In the zone of the home.
 };
 
