Count lapses when a peer is back, keep a home's own claim while it asks

Change: what the home placed itself counts as a claim; an unlisted agent suspects nobody; lapses are counted when a peer comes back; conflicts seen in answers to questions are settled like registrations.

--- a/src/flows/holder.cpp
+++ b/src/flows/holder.cpp
@@ -146,28 +146,23 @@
   sendPeer(Context, Home->Entry.Control, std::move(Message), Out);
 }
 
-// Under id 0 a home reports a newer holder; registering again settles it.
 void Flows::State::onRegisterReply(const wire::ControlMessage &Value,
                                    TimePoint Now, FlowsOutput &Out) {
   const wire::RegisterReply &Body = Value.register_reply();
   const auto It = Registering.find(Body.id());
-  if (Body.id() != 0 && It == Registering.end())
+  if (It == Registering.end())
     return;
-  if (It != Registering.end()) {
-    for (Endpoint Caller : It->second.Flows)
-      if (HeldFlow *Flow = Held.find(Caller))
-        Flow->HomeTag = homeTag(It->second.Home);
-    Registering.erase(It);
-  }
+  for (Endpoint Caller : It->second.Flows)
+    if (HeldFlow *Flow = Held.find(Caller))
+      Flow->HomeTag = homeTag(It->second.Home);
+  Registering.erase(It);
   for (const wire::Located &Conflict : Body.conflicts()) {
     const auto Key = wire::fromWire(Conflict.flow(), Context.Service);
     HeldFlow *Flow = Key ? Held.find(Key->Caller) : nullptr;
     if (!Flow || Flow->Batch != 0)
       continue;
     const AgentRef Winner = wire::fromWire(Conflict.holder());
-    if (!Conflict.has_holder())
-      Unregistered.push_back(Key->Caller);
-    else if (Winner != Context.self() &&
+    if (Winner != Context.self() &&
              winsOver(acceptedAt(Conflict.flow(), Now), Winner, Flow->Accepted,
                       Context.self()))
       giveUp(Key->Caller, Now, Out);
--- a/src/flows/home.cpp
+++ b/src/flows/home.cpp
@@ -107,10 +107,7 @@
       giveUp(Caller, Now, Out);
     return std::nullopt;
   }
-  ControlPtr Hint = Context.newMessage();
-  *Hint->mutable_register_reply()->add_conflicts()->mutable_flow() =
-      wire::toWire(Context.flow(Caller));
-  sendPeer(Context, Others.find(Loser.Id)->Entry.Control, Hint, Out);
+  Others.noteLost(Loser.Id);
   return std::nullopt;
 }
 
--- a/src/flows/locate.cpp
+++ b/src/flows/locate.cpp
@@ -47,6 +47,10 @@
     drop(Packet, "too many packets wait", Out);
     return;
   }
+  // The holder may not have got the packet yet that places the flow there.
+  const DirectoryEntry *Entry = Known.find(Caller);
+  if (Entry && Others.usable(Entry->Holder))
+    Waiting.Best = Claim{Entry->Holder, Entry->Accepted};
   Locating.insert(Caller, std::move(Waiting));
   ToAsk.push_back(Caller);
 }
@@ -128,12 +132,18 @@
   const AgentRef Sender = From.Entry.Agent;
   for (const wire::Located &Answer : Value.locate_reply().flows()) {
     const auto Key = wire::fromWire(Answer.flow(), Context.Service);
-    Located *Waiting = Key ? Locating.find(Key->Caller) : nullptr;
-    if (!Waiting)
+    if (!Key)
       continue;
-    std::erase(Waiting->Waiting, Sender.Id);
     const AgentRef Holder = wire::fromWire(Answer.holder());
     const TimePoint Accepted = acceptedAt(Answer.flow(), Now);
+    Located *Waiting = Locating.find(Key->Caller);
+    if (!Waiting) {
+      // A second holder of a flow shows only here.
+      if (Answer.has_holder() && Holder == Sender && !Answer.pending())
+        learn(Key->Caller, {Holder, Accepted}, Now, Out);
+      continue;
+    }
+    std::erase(Waiting->Waiting, Sender.Id);
     if (Answer.pending())
       yieldTo(Key->Caller, From, Out);
     else if (Answer.has_holder() && Holder == Sender)
@@ -154,9 +164,19 @@
     return;
   std::vector<AgentPacket> Packets = unpark(Waiting->Packets);
   Locating.erase(Caller);
-  know(Caller, By.Holder, By.Accepted, Now);
+  const AgentRef Holder = learn(Caller, By, Now, Out);
   for (AgentPacket &Packet : Packets)
-    toHolder(std::move(Packet), By.Holder, Now, Out);
+    toHolder(std::move(Packet), Holder, Now, Out);
+}
+
+AgentRef Flows::State::learn(Endpoint Caller, const Claim &By, TimePoint Now,
+                             FlowsOutput &Out) {
+  const auto Winner = registerFlow(Caller, By.Holder, By.Accepted, Now, Out);
+  if (!Winner)
+    return By.Holder;
+  know(Caller, Winner->Holder, Winner->Accepted, Now);
+  Others.noteLost(By.Holder.Id);
+  return Winner->Holder;
 }
 
 void Flows::State::yieldTo(Endpoint Caller, const Peer &To, FlowsOutput &Out) {
--- a/src/flows/peers.cpp
+++ b/src/flows/peers.cpp
@@ -80,6 +80,9 @@
   noteNewer(Value.Version);
   const RosterEntry *Own = Roster_.find(Context_.self().Id);
   const bool OwnStart = Own && Own->Agent == Context_.self();
+  if (Own && !Listed_)
+    forgetViews(Now);
+  Listed_ = Own != nullptr;
   WasListed_ = WasListed_ || OwnStart;
   Superseded_ = WasListed_ && Own && !OwnStart;
   refreshView();
@@ -181,7 +184,12 @@
   NewestKnown_ = std::max(NewestKnown_, Version);
 }
 
+// An agent that is not listed gets no heartbeats, which says nothing.
 void Peers::suspectSilent(TimePoint Now, FlowsOutput &Out) {
+  if (!listed()) {
+    forgetViews(Now);
+    return;
+  }
   bool Changed = false;
   for (Peer &P : All_) {
     if (P.Self || P.Suspected || Context_.zoneOut(P.Entry.Zone))
@@ -218,10 +226,12 @@
   return P.Entry.Phase == AgentPhase::Serving && !P.Leaving && !P.Suspected;
 }
 
+// What a peer's flows became while it was not usable is certain only once it is
+// usable again.
 void Peers::countLapses() {
   for (Peer &P : All_) {
     const bool Usable = usable(P.Entry.Agent) != nullptr;
-    P.Lapses += P.Usable && !Usable ? 1 : 0;
+    P.Lapses += Usable && !P.Usable ? 1 : 0;
     P.Usable = Usable;
   }
 }
@@ -297,6 +307,12 @@
     P->Recent.push_back(Now);
 }
 
+void Peers::noteLost(AgentId Id) {
+  Peer *P = find(Id);
+  if (P && !P->Leaving)
+    ++P->Lapses;
+}
+
 void Peers::noteRefused(AgentId Id, TimePoint Now) {
   if (Peer *P = find(Id))
     P->RefusedAt = Now;
--- a/src/flows/peers.h
+++ b/src/flows/peers.h
@@ -33,8 +33,9 @@
   bool Heard = false;
   bool Suspected = false;
   bool Leaving = false; ///< Said so in a heartbeat.
-  /// In the last view; Lapses counts how often that ended.
+  /// Not suspected and in a zone that is in, as of the last view.
   bool Usable = true;
+  /// Stated in heartbeats, see wire::Lapse.
   uint32_t Lapses = 0;
   TimePoint LastHeard;
   TimePoint SuspectedSince;
@@ -98,6 +99,9 @@
   std::vector<Candidate> candidates(AgentId Except, size_t OwnFlows,
                                     const OwnLoad &Own, TimePoint Now) const;
   void notePlaced(AgentId Id, TimePoint Now);
+  /// A flow of the peer has a newer holder, which the peer has to learn. One
+  /// that leaves is moving its flows itself.
+  void noteLost(AgentId Id);
   void noteRefused(AgentId Id, TimePoint Now);
 
 private:
@@ -109,6 +113,8 @@
   uint64_t View_ = 0;
   uint32_t Episode_ = 0;
   bool Leaving_ = false;
+  bool Listed_ = false;
+  /// This incarnation was in a roster once.
   bool WasListed_ = false;
   bool Superseded_ = false;
 
--- a/src/flows/state.h
+++ b/src/flows/state.h
@@ -206,6 +206,9 @@
   void onLocateReply(const wire::ControlMessage &Value, const Peer &From,
                      TimePoint Now, FlowsOutput &Out);
   void found(Endpoint Caller, const Claim &By, TimePoint Now, FlowsOutput &Out);
+  /// Takes a claim into the directory; the holder that wins.
+  AgentRef learn(Endpoint Caller, const Claim &By, TimePoint Now,
+                 FlowsOutput &Out);
   void yieldTo(Endpoint Caller, const Peer &To, FlowsOutput &Out);
   void resolve(Endpoint Caller, TimePoint Now, FlowsOutput &Out);
   void tickLocate(TimePoint Now, FlowsOutput &Out);
