--- a/src/flows/directory.h
+++ b/src/flows/directory.h
@@ -12,22 +12,26 @@
 /// An entry that was not refreshed for this long is forgotten.
 constexpr Duration EntryLifetime = 12min;
 
-struct DirectoryEntry {
+/// An agent says that it holds a flow.
+struct Claim {
   AgentRef Holder;
-  /// When the holder accepted the flow, on this agent's clock.
+  /// When it accepted the flow, on the clock of the agent that keeps the claim.
   TimePoint Accepted;
+  /// The agent that handed the flow over to it.
+  AgentId Previous = AgentId::None;
+};
+
+struct DirectoryEntry {
+  Claim By;
   TimePoint Refreshed;
   /// The view under which the entry was made; older ones are trusted only once
   /// every holder has registered under the present view.
   uint32_t Episode = 0;
 };
 
-/// True when a holder that accepted at A keeps the flow against one that
-/// accepted at B.
-inline bool winsOver(TimePoint A, AgentRef HolderA, TimePoint B,
-                     AgentRef HolderB) {
-  return A != B ? A > B : HolderA < HolderB;
-}
+/// True when A keeps the flow against B: a successor against the agent that
+/// handed the flow over, else whoever accepted it last.
+bool winsOver(const Claim &A, const Claim &B);
 
 using Directory = FlowTable<DirectoryEntry>;
 
--- a/src/flows/flows.cpp
+++ b/src/flows/flows.cpp
@@ -22,8 +22,28 @@
   return static_cast<uint32_t>(std::clamp<int64_t>(Age.count(), 0, UINT32_MAX));
 }
 
-TimePoint acceptedAt(const wire::Flow &Value, TimePoint Now) {
-  return Now - std::chrono::milliseconds(Value.age_ms());
+Claim claimOf(AgentRef Holder, const wire::Flow &Value, TimePoint Now) {
+  return {Holder, Now - std::chrono::milliseconds(Value.age_ms()),
+          AgentId{Value.previous()}};
+}
+
+void setClaim(wire::Flow &Target, const Claim &By, TimePoint Now) {
+  Target.set_age_ms(ageMs(By.Accepted, Now));
+  Target.set_previous(static_cast<uint32_t>(By.Previous));
+}
+
+void setClaim(wire::Located &Target, const Claim &By, TimePoint Now) {
+  *Target.mutable_holder() = wire::toWire(By.Holder);
+  setClaim(*Target.mutable_flow(), By, Now);
+}
+
+bool winsOver(const Claim &A, const Claim &B) {
+  const bool FromB = A.Previous == B.Holder.Id;
+  const bool FromA = B.Previous == A.Holder.Id;
+  if (FromA != FromB)
+    return FromB;
+  return A.Accepted != B.Accepted ? A.Accepted > B.Accepted
+                                  : A.Holder < B.Holder;
 }
 
 Flows::State::State(AgentIdentity Self, uint64_t Seed, FlowStateStore &Store)
--- a/src/flows/handover.cpp
+++ b/src/flows/handover.cpp
@@ -77,7 +77,7 @@
     wire::HandOverReply &Reply = *Given.Message->mutable_hand_over_reply();
     Reply.set_id(Body.id());
     for (const wire::FlowState &Flow : Body.flows()) {
-      const bool Taken = takeOver(Flow, Now, Out);
+      const bool Taken = takeOver(Flow, From, Now, Out);
       *(Taken ? Reply.add_taken() : Reply.add_refused()) = Flow.flow();
     }
   }
@@ -85,8 +85,8 @@
   sendPeer(Context, From.Entry.Control, Given.Message, Out);
 }
 
-bool Flows::State::takeOver(const wire::FlowState &Value, TimePoint Now,
-                            FlowsOutput &Out) {
+bool Flows::State::takeOver(const wire::FlowState &Value, const Peer &From,
+                            TimePoint Now, FlowsOutput &Out) {
   const auto Key = wire::fromWire(Value.flow(), Context.Service);
   if (!Key || Held.find(Key->Caller) || Others.leaving() || !Others.listed() ||
       Others.superseded() ||
@@ -98,6 +98,7 @@
   HeldFlow Flow;
   Flow.Accepted = Now;
   Flow.LastUsed = Now;
+  Flow.Previous = From.Entry.Agent.Id;
   Held.insert(Key->Caller, Flow);
   Unregistered.push_back(Key->Caller);
   Out.Actions.emplace_back(
--- a/src/flows/holder.cpp
+++ b/src/flows/holder.cpp
@@ -15,6 +15,10 @@
   return static_cast<uint32_t>(Hash >> 32) | 1;
 }
 
+Claim Flows::State::ownClaim(const HeldFlow &Flow) const {
+  return {Context.self(), Flow.Accepted, Flow.Previous};
+}
+
 bool Flows::State::mayAccept(Endpoint Caller) const {
   if (!Others.listed() || Others.leaving() || Others.superseded())
     return false;
@@ -31,11 +35,12 @@
   const Peer *Home = Others.homeOf(Caller);
   const bool KnowsIt = Home && (Home->Self || Home->Entry.Data == Packet.From);
   if (Home && Home->Self)
-    know(Caller, Context.self(), Now, Now);
+    know(Caller, {Context.self(), Now}, Now);
+  // The packet may have been on its way for long: also a home that placed the
+  // flow here is told, at leisure.
   if (KnowsIt)
     Flow.HomeTag = homeTag(Home->Entry.Agent);
-  else
-    Unregistered.push_back(Caller);
+  (KnowsIt ? ToRefresh : Unregistered).push_back(Caller);
   Held.insert(Caller, Flow);
   Out.Actions.emplace_back(
       flowEvent(EventKind::FlowAccepted, Context.flow(Caller), AgentId::None));
@@ -110,7 +115,7 @@
       continue;
     }
     Flow->HomeTag = homeTag(Context.self());
-    if (registerFlow(Caller, Context.self(), Flow->Accepted, Now, Out))
+    if (registerFlow(Caller, ownClaim(*Flow), Now, Out))
       giveUp(Caller, Now, Out);
   }
   for (auto &[Home, Callers] : ByHome)
@@ -141,7 +146,7 @@
       continue;
     wire::Flow &Target = *Body.add_flows();
     Target = wire::toWire(Context.flow(Caller));
-    Target.set_age_ms(ageMs(Flow->Accepted, Now));
+    setClaim(Target, ownClaim(*Flow), Now);
   }
   sendPeer(Context, Home->Entry.Control, std::move(Message), Out);
 }
@@ -161,10 +166,9 @@
     HeldFlow *Flow = Key ? Held.find(Key->Caller) : nullptr;
     if (!Flow || Flow->Batch != 0)
       continue;
-    const AgentRef Winner = wire::fromWire(Conflict.holder());
-    if (Winner != Context.self() &&
-             winsOver(acceptedAt(Conflict.flow(), Now), Winner, Flow->Accepted,
-                      Context.self()))
+    const Claim Winner =
+        claimOf(wire::fromWire(Conflict.holder()), Conflict.flow(), Now);
+    if (Winner.Holder != Context.self() && winsOver(Winner, ownClaim(*Flow)))
       giveUp(Key->Caller, Now, Out);
   }
 }
--- a/src/flows/home.cpp
+++ b/src/flows/home.cpp
@@ -19,14 +19,14 @@
   const bool Settled = Others.settled(Now);
   const DirectoryEntry *Entry = Known.find(Caller);
   const bool Trusted = Entry && (Settled || Entry->Episode == Others.episode());
-  const Peer *Holder = Entry ? Others.usable(Entry->Holder) : nullptr;
+  const Peer *Holder = Entry ? Others.usable(Entry->By.Holder) : nullptr;
   AgentId Except = AgentId::None;
   if (Trusted && Holder) {
     const bool Refused = Packet.Header.Placed &&
                          Packet.Header.Holder == Holder->Entry.Agent.Id &&
                          Packet.From == Holder->Entry.Data;
     if (!Refused) {
-      toHolder(std::move(Packet), Entry->Holder, Now, Out);
+      toHolder(std::move(Packet), Entry->By.Holder, Now, Out);
       return;
     }
     Except = Holder->Entry.Agent.Id;
@@ -57,7 +57,7 @@
     return;
   }
   const Endpoint Caller = Packet.Header.Caller;
-  know(Caller, Chosen->Agent, Now, Now);
+  know(Caller, {Chosen->Agent, Now}, Now);
   Others.notePlaced(Chosen->Agent.Id, Now);
   Out.Actions.emplace_back(
       flowEvent(EventKind::FlowPlaced, Context.flow(Caller), Chosen->Agent.Id));
@@ -83,23 +83,23 @@
     place(std::move(Packet), Context.self().Id, Now, Out);
 }
 
-void Flows::State::know(Endpoint Caller, AgentRef Holder, TimePoint Accepted,
-                        TimePoint Now) {
-  Known.insert(Caller, {Holder, Accepted, Now, Others.episode()});
+void Flows::State::know(Endpoint Caller, const Claim &By, TimePoint Now) {
+  Known.insert(Caller, {By, Now, Others.episode()});
 }
 
-std::optional<DirectoryEntry>
-Flows::State::registerFlow(Endpoint Caller, AgentRef Holder, TimePoint Accepted,
-                           TimePoint Now, FlowsOutput &Out) {
+std::optional<Claim> Flows::State::registerFlow(Endpoint Caller,
+                                                const Claim &By, TimePoint Now,
+                                                FlowsOutput &Out) {
   const DirectoryEntry *Entry = Known.find(Caller);
-  if (!Entry || Entry->Holder == Holder || !Others.usable(Entry->Holder)) {
-    know(Caller, Holder, Accepted, Now);
+  if (!Entry || Entry->By.Holder == By.Holder ||
+      !Others.usable(Entry->By.Holder)) {
+    know(Caller, By, Now);
     return std::nullopt;
   }
-  if (!winsOver(Accepted, Holder, Entry->Accepted, Entry->Holder))
-    return *Entry;
-  const AgentRef Loser = Entry->Holder;
-  know(Caller, Holder, Accepted, Now);
+  if (!winsOver(By, Entry->By))
+    return Entry->By;
+  const AgentRef Loser = Entry->By.Holder;
+  know(Caller, By, Now);
   if (Loser == Context.self()) {
     // A flow on its way to its successor is left to the hand-over.
     const HeldFlow *Flow = Held.find(Caller);
@@ -122,16 +122,15 @@
     const auto Key = wire::fromWire(Flow, Context.Service);
     if (!Key)
       continue;
-    const TimePoint Accepted = acceptedAt(Flow, Now);
-    const auto Winner = registerFlow(Key->Caller, Holder, Accepted, Now, Out);
+    const Claim By = claimOf(Holder, Flow, Now);
+    const auto Winner = registerFlow(Key->Caller, By, Now, Out);
     if (!Winner) {
-      found(Key->Caller, {Holder, Accepted}, Now, Out);
+      found(Key->Caller, By, Now, Out);
       continue;
     }
     wire::Located &Conflict = *Body.add_conflicts();
     *Conflict.mutable_flow() = Flow;
-    Conflict.mutable_flow()->set_age_ms(ageMs(Winner->Accepted, Now));
-    *Conflict.mutable_holder() = wire::toWire(Winner->Holder);
+    setClaim(Conflict, *Winner, Now);
   }
   sendPeer(Context, From.Entry.Control, std::move(Reply), Out);
 }
@@ -141,7 +140,7 @@
   for (const wire::Flow &Flow : Value.unregister().flows()) {
     const auto Key = wire::fromWire(Flow, Context.Service);
     const DirectoryEntry *Entry = Key ? Known.find(Key->Caller) : nullptr;
-    if (Entry && Entry->Holder == Sender)
+    if (Entry && Entry->By.Holder == Sender)
       Known.erase(Key->Caller);
   }
 }
--- a/src/flows/locate.cpp
+++ b/src/flows/locate.cpp
@@ -49,8 +49,8 @@
   }
   // The holder may not have got the packet yet that places the flow there.
   const DirectoryEntry *Entry = Known.find(Caller);
-  if (Entry && Others.usable(Entry->Holder))
-    Waiting.Best = Claim{Entry->Holder, Entry->Accepted};
+  if (Entry && Others.usable(Entry->By.Holder))
+    Waiting.Best = Entry->By;
   Locating.insert(Caller, std::move(Waiting));
   ToAsk.push_back(Caller);
 }
@@ -98,13 +98,11 @@
   wire::Located Result;
   *Result.mutable_flow() = wire::toWire(Context.flow(Caller));
   if (const HeldFlow *Flow = Held.find(Caller)) {
-    *Result.mutable_holder() = wire::toWire(Context.self());
-    Result.mutable_flow()->set_age_ms(ageMs(Flow->Accepted, Now));
+    setClaim(Result, ownClaim(*Flow), Now);
     return Result;
   }
   if (const MovedFlow *Gone = Moved.find(Caller)) {
-    *Result.mutable_holder() = wire::toWire(Gone->Successor);
-    Result.mutable_flow()->set_age_ms(ageMs(Gone->At, Now));
+    setClaim(Result, {Gone->Successor, Gone->At, Context.self().Id}, Now);
     return Result;
   }
   if (Locating.find(Caller)) {
@@ -116,9 +114,8 @@
     yieldTo(Caller, From, Out);
   }
   const DirectoryEntry *Entry = Known.find(Caller);
-  if (Entry && Others.usable(Entry->Holder)) {
-    *Result.mutable_holder() = wire::toWire(Entry->Holder);
-    Result.mutable_flow()->set_age_ms(ageMs(Entry->Accepted, Now));
+  if (Entry && Others.usable(Entry->By.Holder)) {
+    setClaim(Result, Entry->By, Now);
     return Result;
   }
   if (Promises.size() < MaxPromises)
@@ -135,22 +132,22 @@
     if (!Key)
       continue;
     const AgentRef Holder = wire::fromWire(Answer.holder());
-    const TimePoint Accepted = acceptedAt(Answer.flow(), Now);
+    const Claim By = claimOf(Holder, Answer.flow(), Now);
     Located *Waiting = Locating.find(Key->Caller);
     if (!Waiting) {
       // A second holder of a flow shows only here.
       if (Answer.has_holder() && Holder == Sender && !Answer.pending())
-        learn(Key->Caller, {Holder, Accepted}, Now, Out);
+        learn(Key->Caller, By, Now, Out);
       continue;
     }
     std::erase(Waiting->Waiting, Sender.Id);
     if (Answer.pending())
       yieldTo(Key->Caller, From, Out);
     else if (Answer.has_holder() && Holder == Sender)
-      found(Key->Caller, {Holder, Accepted}, Now, Out);
+      found(Key->Caller, By, Now, Out);
     else {
       if (Answer.has_holder())
-        Waiting->Best = Claim{Holder, Accepted};
+        Waiting->Best = By;
       if (Waiting->Waiting.empty())
         resolve(Key->Caller, Now, Out);
     }
@@ -171,10 +168,10 @@
 
 AgentRef Flows::State::learn(Endpoint Caller, const Claim &By, TimePoint Now,
                              FlowsOutput &Out) {
-  const auto Winner = registerFlow(Caller, By.Holder, By.Accepted, Now, Out);
+  const auto Winner = registerFlow(Caller, By, Now, Out);
   if (!Winner)
     return By.Holder;
-  know(Caller, Winner->Holder, Winner->Accepted, Now);
+  know(Caller, *Winner, Now);
   Others.noteLost(By.Holder.Id);
   return Winner->Holder;
 }
--- a/src/flows/packets.cpp
+++ b/src/flows/packets.cpp
@@ -75,7 +75,8 @@
     Moved.erase(Packet.Header.Caller);
     return false;
   }
-  pass(std::move(Packet), *Successor, true, Out);
+  // Not placed there: the successor may have lost it to a third one since.
+  pass(std::move(Packet), *Successor, false, Out);
   return true;
 }
 
@@ -86,7 +87,7 @@
   const DirectoryEntry *Entry = Known.find(Caller);
   const Peer *Home = Others.homeOf(Caller);
   const bool Elsewhere =
-      Home && Home->Self && Entry && Entry->Holder != Context.self();
+      Home && Home->Self && Entry && Entry->By.Holder != Context.self();
   if (Packet.Header.Holder != Context.self().Id || Elsewhere) {
     toHome(std::move(Packet), Now, Out);
     return;
--- a/src/flows/state.h
+++ b/src/flows/state.h
@@ -60,6 +60,8 @@
   TimePoint LastUsed;
   /// The home that has the flow registered, see homeTag(); 0 when none has.
   uint32_t HomeTag = 0;
+  /// Who handed the flow over to this agent.
+  AgentId Previous = AgentId::None;
   /// The hand-over under way; 0 when none.
   uint64_t Batch = 0;
 };
@@ -76,12 +78,6 @@
   bool Refresh = false;
 };
 
-/// What an agent says of a flow's holder.
-struct Claim {
-  AgentRef Holder;
-  TimePoint Accepted;
-};
-
 /// A flow that this home doesn't know, while the others are asked.
 struct Located {
   TimePoint Since;
@@ -185,12 +181,11 @@
              FlowsOutput &Out);
   void toHolder(AgentPacket Packet, AgentRef Holder, TimePoint Now,
                 FlowsOutput &Out);
-  void know(Endpoint Caller, AgentRef Holder, TimePoint Accepted,
-            TimePoint Now);
-  /// Empty when the holder is known from now on; else the winner's entry.
-  std::optional<DirectoryEntry> registerFlow(Endpoint Caller, AgentRef Holder,
-                                             TimePoint Accepted, TimePoint Now,
-                                             FlowsOutput &Out);
+  void know(Endpoint Caller, const Claim &By, TimePoint Now);
+  /// Empty when the holder is known from now on; else the claim that wins.
+  std::optional<Claim> registerFlow(Endpoint Caller, const Claim &By,
+                                    TimePoint Now, FlowsOutput &Out);
+  Claim ownClaim(const HeldFlow &Flow) const;
   void onRegister(const wire::ControlMessage &Value, const Peer &From,
                   TimePoint Now, FlowsOutput &Out);
   void onUnregister(const wire::ControlMessage &Value);
@@ -237,7 +232,8 @@
                   TimePoint Now, FlowsOutput &Out);
   void onHandOver(const wire::ControlMessage &Value, const Peer &From,
                   TimePoint Now, FlowsOutput &Out);
-  bool takeOver(const wire::FlowState &Value, TimePoint Now, FlowsOutput &Out);
+  bool takeOver(const wire::FlowState &Value, const Peer &From, TimePoint Now,
+                FlowsOutput &Out);
   void onHandOverReply(const wire::ControlMessage &Value, TimePoint Now,
                        FlowsOutput &Out);
   void retryHandOvers(TimePoint Now, FlowsOutput &Out);
@@ -249,7 +245,9 @@
 
 /// How long ago, in milliseconds, cut to what the wire can carry.
 uint32_t ageMs(TimePoint Since, TimePoint Now);
-TimePoint acceptedAt(const wire::Flow &Value, TimePoint Now);
+Claim claimOf(AgentRef Holder, const wire::Flow &Value, TimePoint Now);
+void setClaim(wire::Flow &Target, const Claim &By, TimePoint Now);
+void setClaim(wire::Located &Target, const Claim &By, TimePoint Now);
 
 /// Names a home and its incarnation in a few bytes; never 0.
 uint32_t homeTag(AgentRef Home);
