Never let a lapse count fall when a peer is removed and back

Cause: a removed and rejoined peer got a fresh count, which it had seen before, so that it never learned of a newer holder (faults, seed 212).

--- a/src/flows/membership.cpp
+++ b/src/flows/membership.cpp
@@ -225,11 +225,11 @@
     if (P.Suspected)
       *Body.add_suspects() = wire::toWire(P.Entry.Agent);
   for (const Peer &P : Peers_.all()) {
-    if (P.Lapses == 0)
+    if (P.Lapse == 0)
       continue;
     wire::Lapse &Lapse = *Body.add_lapses();
     *Lapse.mutable_agent() = wire::toWire(P.Entry.Agent);
-    Lapse.set_count(P.Lapses);
+    Lapse.set_count(P.Lapse);
   }
   for (const Peer &P : Peers_.all())
     if (!P.Self && !Context_.zoneOut(P.Entry.Zone))
--- a/src/flows/peers.cpp
+++ b/src/flows/peers.cpp
@@ -231,7 +231,8 @@
 void Peers::countLapses() {
   for (Peer &P : All_) {
     const bool Usable = usable(P.Entry.Agent) != nullptr;
-    P.Lapses += Usable && !P.Usable ? 1 : 0;
+    if (Usable && !P.Usable)
+      P.Lapse = ++LastLapse_;
     P.Usable = Usable;
   }
 }
@@ -310,7 +311,7 @@
 void Peers::noteLost(AgentId Id) {
   Peer *P = find(Id);
   if (P && !P->Leaving)
-    ++P->Lapses;
+    P->Lapse = ++LastLapse_;
 }
 
 void Peers::noteRefused(AgentId Id, TimePoint Now) {
--- a/src/flows/peers.h
+++ b/src/flows/peers.h
@@ -36,7 +36,7 @@
   /// Not suspected and in a zone that is in, as of the last view.
   bool Usable = true;
   /// Stated in heartbeats, see wire::Lapse.
-  uint32_t Lapses = 0;
+  uint32_t Lapse = 0;
   TimePoint LastHeard;
   TimePoint SuspectedSince;
   TimePoint RefusedAt;
@@ -112,6 +112,8 @@
   uint64_t NewestKnown_ = 0;
   uint64_t View_ = 0;
   uint32_t Episode_ = 0;
+  /// Never falls, also when a peer was removed and is back.
+  uint32_t LastLapse_ = 0;
   bool Leaving_ = false;
   bool Listed_ = false;
   /// This incarnation was in a roster once.
