--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -13,6 +13,11 @@
 /// A request that runs for longer is a sign before it ends.
 constexpr int OverdueFactor = 8;
 constexpr Duration OverdueFloor = 100ms;
+/// On trial there is less reason for patience.
+constexpr int OverdueOnTrialFactor = 4;
+/// Completions for each slot of the limit before one more is tried.
+constexpr uint32_t RoundsToGrow = 4;
+constexpr uint32_t MaxPatience = 16;
 /// The endpoints lag and mislead, so a bad hint only slows growth.
 constexpr uint32_t CautionFactor = 2;
 constexpr uint32_t FullLoad = 100;
@@ -22,6 +27,7 @@
 void Admission::setSlots(uint32_t Slots) {
   Slots_ = std::max(Slots, 1U);
   Limit_ = std::min(Limit_, Slots_);
+  Borne_ = std::min(Borne_, Limit_);
 }
 
 void Admission::onOutcome(const Sample &What, TimePoint Now,
@@ -36,7 +42,7 @@
   case UpstreamOutcome::Failed:
   case UpstreamOutcome::TimedOut:
     if (What.Started >= LastCut_)
-      shrink(Limit_ / 2, Now, Out);
+      cut(Now, Out);
     return;
   case UpstreamOutcome::Refused:
     // It is not there: what comes back will be cold.
@@ -53,8 +59,8 @@
     return;
   if (Judged == Speed::FarOver) {
     Slowness_ += FarWeight;
-    if (Slowness_ >= ColdSlowness)
-      shrink(Limit_ / 2, Now, Out);
+    if (onTrial() || Slowness_ >= ColdSlowness)
+      cut(Now, Out);
     return;
   }
   Slowness_ -= std::min(Slowness_, NormalRelief);
@@ -68,22 +74,38 @@
   const Duration Typical = typicalLatency();
   if (Typical == Duration::zero())
     return;
-  if (Now - Started > std::max(Typical * OverdueFactor, OverdueFloor))
+  const int Factor = onTrial() ? OverdueOnTrialFactor : OverdueFactor;
+  if (Now - Started > std::max(Typical * Factor, OverdueFloor))
+    cut(Now, Out);
+}
+
+/// A trial that failed says that the limit before it was right; trouble at a
+/// limit that was borne says that the upstream has changed.
+void Admission::cut(TimePoint Now, AgentActions &Out) {
+  if (!onTrial()) {
     shrink(Limit_ / 2, Now, Out);
+    return;
+  }
+  Patience_ = std::min(Patience_ * 2, MaxPatience);
+  shrink(Borne_, Now, Out);
 }
 
 /// Completions below the limit prove nothing about bearing more.
 void Admission::grow(const Sample &What, AgentActions &Out) {
-  if (Limit_ >= Slots_ || What.Concurrency < Limit_)
-    return;
-  if (++Completions_ < completionsToGrow())
+  if (What.Concurrency < Limit_)
     return;
-  setLimit(Limit_ + 1, Out);
+  ++Completions_;
+  if (onTrial() && Completions_ >= Limit_ * RoundsToGrow) {
+    Borne_ = Limit_;
+    Patience_ = std::max(Patience_ / 2, 1U);
+  }
+  if (Limit_ < Slots_ && Completions_ >= completionsToGrow())
+    setLimit(Limit_ + 1, Out);
 }
 
 uint32_t Admission::completionsToGrow() const {
   const bool Caution = !Hint_.Healthy || Hint_.Load >= FullLoad;
-  return Limit_ * (Caution ? CautionFactor : 1);
+  return Limit_ * RoundsToGrow * Patience_ * (Caution ? CautionFactor : 1);
 }
 
 void Admission::shrink(uint32_t To, TimePoint Now, AgentActions &Out) {
@@ -91,6 +113,7 @@
   const uint32_t Target = std::max(To, 1U);
   Slowness_ = 0;
   Completions_ = 0;
+  Borne_ = std::min(Borne_, Target);
   if (Target >= Limit_)
     return;
   Event Cold;
