Expect the other homes' placements, and refuse before the hops run out

In a full service 18 of 20 new flows were dropped for their hops instead of refused. Change: a home's own placements since a heartbeat count once for each other home too, as a guess at what they place; a packet that could not come back from one more holder is refused.

--- a/bench/bench.cpp
+++ b/bench/bench.cpp
@@ -9,6 +9,7 @@
 
 constexpr std::array Workloads = {
     Workload{"home", findHome},
+    Workload{"place", placeFlows},
     Workload{"observe-event", recordEvents},
     Workload{"observe-counter", updateCounter},
     Workload{"observe-histogram", updateHistogram},
--- a/bench/bench.h
+++ b/bench/bench.h
@@ -43,6 +43,8 @@
 
 // bench/homebench.cpp
 Outcome findHome();
+// bench/placebench.cpp
+Outcome placeFlows();
 // bench/observebench.cpp
 Outcome recordEvents();
 Outcome updateCounter();
--- a/src/flows/home.cpp
+++ b/src/flows/home.cpp
@@ -50,6 +50,11 @@
     drop(Packet, "no flow", Out);
     return;
   }
+  // Refused by so many that it could not come back from another one.
+  if (Packet.Header.Hops + 2 > MaxHops) {
+    refuse(Packet, Out);
+    return;
+  }
   const auto Candidates = Others.candidates(Except, Held.size(), Load, Now);
   const Candidate *Chosen = choose(Candidates, Context.Rng);
   if (!Chosen) {
--- a/src/flows/peers.cpp
+++ b/src/flows/peers.cpp
@@ -284,6 +284,11 @@
                                          const OwnLoad &Own,
                                          TimePoint Now) const {
   std::vector<Candidate> Result;
+  // Each home sees about the same share of the new flows.
+  const auto OtherHomes = static_cast<uint32_t>(
+      std::count_if(All_.begin(), All_.end(), [&](const Peer &P) {
+        return !P.Self && mayBeHome(P);
+      }));
   for (const Peer &P : All_) {
     if (P.Entry.Agent.Id == Except || !mayBeHome(P))
       continue;
@@ -294,6 +299,7 @@
     C.Agent = P.Entry.Agent;
     C.Flows =
         static_cast<uint32_t>(P.Self ? OwnFlows : P.Flows + P.Recent.size());
+    C.Unseen = static_cast<uint32_t>(P.Recent.size()) * OtherHomes;
     C.Capacity = Context_.capacity(P.Entry.Connections);
     C.Requests = Load.Running + Load.Queued;
     C.Limit = Load.Limit;
--- a/src/flows/placement.cpp
+++ b/src/flows/placement.cpp
@@ -34,7 +34,7 @@
 } // namespace
 
 double fullness(const Candidate &C) {
-  const double Held = static_cast<double>(C.Flows) / C.Capacity;
+  const double Held = (static_cast<double>(C.Flows) + C.Unseen) / C.Capacity;
   const double Limit = std::max<uint32_t>(1, C.Limit);
   const double Excess = std::max(0.0, C.Requests / Limit - 1.0);
   return Held + std::min(MaxQueuePenalty, Excess * QueuePenalty);
--- a/src/flows/placement.h
+++ b/src/flows/placement.h
@@ -11,7 +11,9 @@
 
 struct Candidate {
   AgentRef Agent;
-  uint32_t Flows = 0;    ///< Said last, plus what was placed since.
+  uint32_t Flows = 0; ///< Said last, plus what this home placed since.
+  /// What the other homes will have placed there since; a guess.
+  uint32_t Unseen = 0;
   uint32_t Capacity = 0; ///< Flows that it may hold; its weight.
   uint32_t Requests = 0; ///< Running and queued.
   uint32_t Limit = 1;    ///< Requests that it bears at once.
