--- a/bench/bench.h
+++ b/bench/bench.h
@@ -45,6 +45,9 @@
 Outcome findHome();
 // bench/placebench.cpp
 Outcome placeFlows();
+// bench/settingsbench.cpp
+Outcome mergeSettings();
+Outcome mergeManySettings();
 // bench/observebench.cpp
 Outcome recordEvents();
 Outcome updateCounter();
@@ -54,6 +57,12 @@
 Outcome steerHitMany();
 Outcome steerMiss();
 Outcome joinMoves();
+// bench/admitbench.cpp
+Outcome admitToColdUpstream();
+// bench/ticketbench.cpp
+Outcome issueAndCheckTickets();
+// bench/runbench.cpp
+Outcome runRequests();
 // bench/forwardbench.cpp
 bool measureForwarding();
 // bench/capacitybench.cpp
