--- a/src/flows/directory.h
+++ b/src/flows/directory.h
@@ -29,8 +29,11 @@
   uint32_t Episode = 0;
 };
 
-/// True when A keeps the flow against B: a successor against the agent that
-/// handed the flow over, else whoever accepted it last.
+/// A claim's age may be off by the time that it was under way.
+constexpr Duration ClaimAgeError = 5s;
+
+/// True when A keeps the flow against B: whoever accepted it last, but when
+/// their ages are close, a successor against the agent that handed it over.
 bool winsOver(const Claim &A, const Claim &B);
 
 using Directory = FlowTable<DirectoryEntry>;
--- a/src/flows/flows.cpp
+++ b/src/flows/flows.cpp
@@ -40,7 +40,8 @@
 bool winsOver(const Claim &A, const Claim &B) {
   const bool FromB = A.Previous == B.Holder.Id;
   const bool FromA = B.Previous == A.Holder.Id;
-  if (FromA != FromB)
+  const Duration Apart = std::chrono::abs(A.Accepted - B.Accepted);
+  if (FromA != FromB && Apart < ClaimAgeError)
     return FromB;
   return A.Accepted != B.Accepted ? A.Accepted > B.Accepted
                                   : A.Holder < B.Holder;
