--- a/src/flows/peers.cpp
+++ b/src/flows/peers.cpp
@@ -80,6 +80,9 @@
   noteNewer(Value.Version);
   const RosterEntry *Own = Roster_.find(Context_.self().Id);
   const bool OwnStart = Own && Own->Agent == Context_.self();
+  if (Own && !Listed_)
+    forgetViews(Now);
+  Listed_ = Own != nullptr;
   WasListed_ = WasListed_ || OwnStart;
   Superseded_ = WasListed_ && Own && !OwnStart;
   refreshView();
@@ -181,7 +184,12 @@
   NewestKnown_ = std::max(NewestKnown_, Version);
 }
 
+// An agent that is not listed gets no heartbeats, which says nothing.
 void Peers::suspectSilent(TimePoint Now, FlowsOutput &Out) {
+  if (!listed()) {
+    forgetViews(Now);
+    return;
+  }
   bool Changed = false;
   for (Peer &P : All_) {
     if (P.Self || P.Suspected || Context_.zoneOut(P.Entry.Zone))
@@ -218,10 +226,13 @@
   return P.Entry.Phase == AgentPhase::Serving && !P.Leaving && !P.Suspected;
 }
 
+// What a peer's flows became while it was not usable is certain only once it is
+// usable again.
 void Peers::countLapses() {
   for (Peer &P : All_) {
     const bool Usable = usable(P.Entry.Agent) != nullptr;
-    P.Lapses += P.Usable && !Usable ? 1 : 0;
+    if (Usable && !P.Usable)
+      P.Lapse = ++LastLapse_;
     P.Usable = Usable;
   }
 }
@@ -273,6 +284,11 @@
                                          const OwnLoad &Own,
                                          TimePoint Now) const {
   std::vector<Candidate> Result;
+  // Each home sees about the same share of the new flows.
+  const auto OtherHomes = static_cast<uint32_t>(
+      std::count_if(All_.begin(), All_.end(), [&](const Peer &P) {
+        return !P.Self && mayBeHome(P);
+      }));
   for (const Peer &P : All_) {
     if (P.Entry.Agent.Id == Except || !mayBeHome(P))
       continue;
@@ -283,6 +299,7 @@
     C.Agent = P.Entry.Agent;
     C.Flows =
         static_cast<uint32_t>(P.Self ? OwnFlows : P.Flows + P.Recent.size());
+    C.Unseen = static_cast<uint32_t>(P.Recent.size()) * OtherHomes;
     C.Capacity = Context_.capacity(P.Entry.Connections);
     C.Requests = Load.Running + Load.Queued;
     C.Limit = Load.Limit;
@@ -298,6 +315,12 @@
     P->Recent.push_back(Now);
 }
 
+void Peers::noteLost(AgentId Id) {
+  Peer *P = find(Id);
+  if (P && !P->Leaving)
+    P->Lapse = ++LastLapse_;
+}
+
 void Peers::noteRefused(AgentId Id, TimePoint Now) {
   if (Peer *P = find(Id))
     P->RefusedAt = Now;
