Judge latencies against a learned 95th percentile too

Cause: with exponential service times one answer in sixteen is more than four medians long, so a healthy upstream was cut again and again.

--- a/src/admission/admission_test.cpp
+++ b/src/admission/admission_test.cpp
@@ -68,6 +68,20 @@
   EXPECT_EQ(Upstream.Limit.limit(), 4U);
 }
 
+TEST(Admission, ScatteredLatenciesAreNotCold) {
+  Driver Upstream;
+  Random Bits(1);
+  std::exponential_distribution<double> Seconds(200);
+  Upstream.warmUp();
+  uint64_t AtFullLimit = 0;
+  for (unsigned I = 0; I < 5000; ++I) {
+    Upstream.complete(std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(Seconds(Bits))));
+    AtFullLimit += Upstream.Limit.limit() == 4;
+  }
+  EXPECT_GT(AtFullLimit, 4500U);
+}
+
 TEST(Admission, HintsNeverRaiseTheLimitNorStopItsGrowth) {
   Driver Upstream;
   UpstreamHint Idle;
--- a/src/admission/baseline.cpp
+++ b/src/admission/baseline.cpp
@@ -17,6 +17,10 @@
 /// Samples far over count less, lest the cold spell become the baseline.
 constexpr int FarStepDivisor = 200;
 constexpr Duration SmallestStep = 1us;
+/// The median moves up as far as down. The 95th percentile moves up 19 times
+/// as far, so it rests where one sample in twenty is above.
+constexpr int FullWeight = 10;
+constexpr int HighDown = 1;
 constexpr size_t SmallAnswer = 16 << 10;
 constexpr size_t MediumAnswer = 256 << 10;
 
@@ -26,32 +30,42 @@
   return Bytes <= MediumAnswer ? 1 : 2;
 }
 
-void moveTowards(Duration &Median, Duration Sample, int Divisor) {
-  if (Median == Duration::zero()) {
-    Median = Sample;
-    return;
-  }
-  const Duration Step = std::max(Median / Divisor, SmallestStep);
-  if (Sample > Median)
-    Median = std::min(Median + Step, Sample);
+/// Moves a quantile estimate up or down by a share of itself.
+void move(Duration &Quantile, Duration Sample, int UpWeight, int DownWeight,
+          int Divisor) {
+  const int Weight = Sample > Quantile ? UpWeight : DownWeight;
+  const Duration Step =
+      std::max(Quantile * Weight / (Divisor * FullWeight), SmallestStep);
+  if (Sample > Quantile)
+    Quantile = std::min(Quantile + Step, Sample);
   else
-    Median = std::max(Median - Step, Sample);
+    Quantile = std::max(Quantile - Step, Sample);
 }
 
 } // namespace
 
+void Baseline::learn(Quantiles &From, Duration Sample, bool Far) {
+  if (From.Median == Duration::zero()) {
+    From = {Sample, Sample * SlowFactor};
+    return;
+  }
+  const int Divisor = Far ? FarStepDivisor : StepDivisor;
+  move(From.Median, Sample, FullWeight, FullWeight, Divisor);
+  move(From.High, Sample, 2 * FullWeight - HighDown, HighDown, StepDivisor);
+}
+
 Speed Baseline::judge(Code Method, size_t Bytes, Duration Latency) {
   const size_t Row = (static_cast<size_t>(Method) - 1) % Methods;
-  Duration &Median = Medians_[Row * Sizes + sizeClass(Bytes)];
-  const Duration Normal = std::max(Median, NoiseFloor);
+  Quantiles &Kind = Kinds_[Row * Sizes + sizeClass(Bytes)];
+  const bool First = Kind.Median == Duration::zero();
+  const Duration Median = std::max(Kind.Median, NoiseFloor);
   Speed Result = Speed::Normal;
-  if (Median != Duration::zero() && Latency > Normal * FarFactor)
+  if (!First && Latency > std::max(Median * FarFactor, Kind.High * 2))
     Result = Speed::FarOver;
-  else if (Median != Duration::zero() && Latency > Normal * SlowFactor)
+  else if (!First && Latency > std::max(Median * SlowFactor, Kind.High * 5 / 4))
     Result = Speed::Slow;
-  const int Divisor = Result == Speed::FarOver ? FarStepDivisor : StepDivisor;
-  moveTowards(Median, Latency, Divisor);
-  moveTowards(Overall_, Latency, Divisor);
+  learn(Kind, Latency, Result == Speed::FarOver);
+  learn(Overall_, Latency, Result == Speed::FarOver);
   return Result;
 }
 
--- a/src/requests/blockwise.cpp
+++ b/src/requests/blockwise.cpp
@@ -71,7 +71,7 @@
     // Some other request may have used the ticket of this body.
     Why.Verdict = Verdict::MayHaveRun;
   }
-  deliver(Flow, std::move(To), Why, false, Now, Out);
+  deliver(Flow, To, Why, false, Now, Out);
 }
 
 /// A later block of an answer: never a reason to run the request again.
@@ -83,7 +83,7 @@
     send(Flow, To, std::move(Value), Now, Out);
     return;
   }
-  deliver(Flow, std::move(To),
+  deliver(Flow, To,
           bareAnswer(Code::RequestEntityIncomplete, Verdict::MayHaveRun), false,
           Now, Out);
 }
--- a/src/requests/delivery.cpp
+++ b/src/requests/delivery.cpp
@@ -20,7 +20,7 @@
 
 } // namespace
 
-void Requests::State::deliver(const FlowKey &Flow, ReplyTo To,
+void Requests::State::deliver(const FlowKey &Flow, const ReplyTo &To,
                               const Answer &Result, bool WithTicket,
                               TimePoint Now, AgentActions &Out) {
   Message Value;
--- a/src/requests/intake.cpp
+++ b/src/requests/intake.cpp
@@ -101,8 +101,8 @@
 void Requests::State::onRequest(const FlowKey &Flow, const Message &Request,
                                 ReplyTo To, TimePoint Now, AgentActions &Out) {
   if (!isKnownMethod(Request.Kind)) {
-    deliver(Flow, std::move(To), bareAnswer(Code::BadRequest, Verdict::NotRun),
-            false, Now, Out);
+    deliver(Flow, To, bareAnswer(Code::BadRequest, Verdict::NotRun), false, Now,
+            Out);
     return;
   }
   if (Request.Block2 && Request.Block2->Number > 0) {
@@ -140,9 +140,8 @@
     return;
   case TicketState::Unknown:
     // No 4.01, which would make a stock caller send the request again.
-    deliver(Flow, std::move(To),
-            bareAnswer(Code::GatewayTimeout, Verdict::MayHaveRun), true, Now,
-            Out);
+    deliver(Flow, To, bareAnswer(Code::GatewayTimeout, Verdict::MayHaveRun),
+            true, Now, Out);
     return;
   case TicketState::Lapsed:
     // Never usable again, even if the clock's reading were in doubt.
@@ -154,8 +153,8 @@
     break;
   }
   Out.emplace_back(requestEvent(EventKind::TicketIssued, Flow, 0));
-  deliver(Flow, std::move(To), bareAnswer(Code::Unauthorized, Verdict::NotRun),
-          true, Now, Out);
+  deliver(Flow, To, bareAnswer(Code::Unauthorized, Verdict::NotRun), true, Now,
+          Out);
 }
 
 /// The ticket is on record: whoever repeats it gets the one outcome.
@@ -170,7 +169,7 @@
                               : bareAnswer(Code::GatewayTimeout, Known.Verdict);
     }
     Out.emplace_back(requestEvent(EventKind::DuplicateAnswered, Flow, 0));
-    deliver(Flow, std::move(To), Known, true, Now, Out);
+    deliver(Flow, To, Known, true, Now, Out);
     return;
   }
   for (auto &[Id, Each] : Jobs) {
@@ -233,7 +232,7 @@
     Tickets.settle(Flow, Checked.Id, Result);
     Out.emplace_back(requestEvent(EventKind::TicketBurnt, Flow, 0));
   }
-  deliver(Flow, std::move(To), Result, false, Now, Out);
+  deliver(Flow, To, Result, false, Now, Out);
 }
 
 } // namespace dragonflystall
--- a/src/requests/state.h
+++ b/src/requests/state.h
@@ -139,7 +139,7 @@
   // delivery.cpp
   void send(const FlowKey &Flow, const ReplyTo &To, Message Value,
             TimePoint Now, AgentActions &Out);
-  void deliver(const FlowKey &Flow, ReplyTo To, const Answer &Result,
+  void deliver(const FlowKey &Flow, const ReplyTo &To, const Answer &Result,
                bool WithTicket, TimePoint Now, AgentActions &Out);
   void acknowledge(ReplyTo &To, AgentActions &Out);
   void acknowledgeSlow(TimePoint Now, AgentActions &Out);
--- a/src/requests/testworld.h
+++ b/src/requests/testworld.h
@@ -96,7 +96,8 @@
   void carry(const std::function<void()> &Work);
 
   void startAgent(size_t Index);
-  void onNode(size_t Index, std::function<void(TestAgent &, AgentActions &)>);
+  using NodeEvent = std::function<void(TestAgent &, AgentActions &)>;
+  void onNode(size_t Index, const NodeEvent &Event);
   void perform(size_t Index, const AgentActions &Actions);
   void runUpstream(size_t Index, const RunUpstream &Run);
   void endRun(size_t Index, uint64_t Start, RunId Run, UpstreamOutcome Outcome,
