--- a/bench/bench.h
+++ b/bench/bench.h
@@ -54,6 +54,9 @@
 
 // bench/homebench.cpp
 Outcome findHome();
+// bench/settingsbench.cpp
+Outcome mergeSettings();
+Outcome mergeManySettings();
 // bench/observebench.cpp
 Outcome recordEvents();
 Outcome updateCounter();
@@ -63,6 +66,12 @@
 Outcome steerHitMany();
 Outcome steerMiss();
 Outcome joinMoves();
+// bench/admitbench.cpp
+Outcome admitToColdUpstream();
+// bench/ticketbench.cpp
+Outcome issueAndCheckTickets();
+// bench/runbench.cpp
+Outcome runRequests();
 // bench/forwardbench.cpp
 bool measureForwarding();
 // bench/capacitybench.cpp
