Spray to ready balancers only in the demo

The stand-in fabric checks the balancers' readiness, as a platform's does, and binds its own address in the deployment's network.

--- a/scripts/lib/deployment.sh
+++ b/scripts/lib/deployment.sh
@@ -117,9 +117,10 @@
 }
 
 start_fabric() {
-  start fabric "$bin/standin-fabric" --seed 1 \
+  start fabric "$bin/standin-fabric" --seed 1 --local $net.0.2:7000 \
     --service "${service_ips[0]}:5683" --service "${service_ips[1]}:5683" \
-    --entry $net.1.1:7003 --entry $net.2.1:7003 --entry $net.3.1:7003
+    --entry $net.1.1:7003 --entry $net.2.1:7003 --entry $net.3.1:7003 \
+    --check $net.1.1:7002 --check $net.2.1:7002 --check $net.3.1:7002
 }
 
 start_all() {
