Let a few processes watch the platform for many

Were all processes of the size to come to watch, their idle calls alone would be 0.2 a second each. The daemons don't use it yet: today's fleets watch throughout.

No functional change.

--- a/src/platform/fakeplatform_test.h
+++ b/src/platform/fakeplatform_test.h
@@ -68,6 +68,9 @@
     ++Processes[Index].Asked;
     handle(Index, std::move(Update));
   }
+  void setWatching(size_t Index, bool On) {
+    handle(Index, LinkSetWatching{On});
+  }
   /// An operator's change, straight into the store.
   uint64_t put(const std::string &Key, const std::string &Value) {
     const StoreAnswer Old =
--- a/src/platform/link.cpp
+++ b/src/platform/link.cpp
@@ -233,6 +233,8 @@
   State_->post(Update);
 }
 
+void PlatformLink::setWatching(bool On) { State_->post(LinkSetWatching{On}); }
+
 bool PlatformLink::down() const { return State_->Down; }
 
 uint64_t PlatformLink::calls() const { return State_->Calls; }
--- a/src/platform/link.h
+++ b/src/platform/link.h
@@ -40,6 +40,9 @@
                   uint64_t KnownVersion);
   /// Conditional update; the result comes to OnRosterWritten. Any thread.
   void updateRoster(const UpdateRoster &Update);
+  /// Whether the settings and rosters are watched, or only read on demand and
+  /// now and then since the peers tell of changes. Any thread.
+  void setWatching(bool On);
   /// True while the last calls failed.
   bool down() const;
   uint64_t calls() const;
--- a/src/platform/linkcore.cpp
+++ b/src/platform/linkcore.cpp
@@ -78,6 +78,22 @@
   Writes_.push_back({What, ObjectWrite(std::move(Put), Now + WriteGiveUp)});
 }
 
+void LinkCore::on(const LinkSetWatching &What, TimePoint Now,
+                  LinkActions &Out) {
+  if (std::exchange(Watching_, What.On) == What.On)
+    return;
+  if (What.On) {
+    channel(LinkChannel::Settings).NotBefore = Now;
+    return;
+  }
+  abandon(LinkChannel::Rosters, Out);
+  if (!SettingsKnown_)
+    return; // Roster reads need the first answer.
+  abandon(LinkChannel::Settings, Out);
+  channel(LinkChannel::Settings).NotBefore =
+      Now + BackstopPeriod + jitter(Random_, BackstopPeriod / 2);
+}
+
 void LinkCore::on(const LinkTick & /*What*/, TimePoint Now, LinkActions &Out) {
   expire(Now, Out);
 }
@@ -107,7 +123,7 @@
   noteReachable(Answer, Out);
   switch (Which) {
   case LinkChannel::Settings:
-    return onSettings(Answer, Out);
+    return onSettings(Answer, Now, Out);
   case LinkChannel::Rosters:
     return onRosters(Answer, Out);
   case LinkChannel::Calls:
@@ -145,9 +161,13 @@
   Out.emplace_back(eventOf(EventKind::PlatformLost, Answer.Detail));
 }
 
-void LinkCore::onSettings(const StoreAnswer &Answer, LinkActions &Out) {
+void LinkCore::onSettings(const StoreAnswer &Answer, TimePoint Now,
+                          LinkActions &Out) {
   if (Answer.Status != StoreStatus::Done)
     return;
+  if (!Watching_)
+    channel(LinkChannel::Settings).NotBefore =
+        Now + BackstopPeriod + jitter(Random_, BackstopPeriod / 2);
   SettingsSince_ = std::max(SettingsSince_, Answer.Revision);
   // Rosters are read after this answer, so their watch may start here.
   if (!std::exchange(SettingsKnown_, true) || Wanted_.empty())
@@ -233,7 +253,7 @@
 /// One wanted roster is watched by its key; several by their common prefix,
 /// which costs one call however many they are.
 std::optional<std::string> LinkCore::rosterScope() const {
-  if (Wanted_.empty() || Wanted_.size() > MaxWatchedRosters)
+  if (!Watching_ || Wanted_.empty() || Wanted_.size() > MaxWatchedRosters)
     return std::nullopt;
   if (Wanted_.size() == 1)
     return Wanted_.begin()->first;
@@ -243,12 +263,16 @@
 /// The wanted rosters changed: a watch of the earlier scope is given up. The
 /// new one starts at the same revision; newly wanted rosters are read apart.
 void LinkCore::rescopeWatch(LinkActions &Out) {
-  Channel &C = channel(LinkChannel::Rosters);
+  const Channel &C = channel(LinkChannel::Rosters);
   const std::optional<std::string> Scope = rosterScope();
-  if (C.Outstanding == 0 || (Scope && C.Call.Key == *Scope))
-    return;
-  C.Outstanding = 0;
-  Out.emplace_back(LinkAbandon{LinkChannel::Rosters});
+  if (!Scope || C.Call.Key != *Scope)
+    abandon(LinkChannel::Rosters, Out);
+}
+
+/// Gives the channel's call up, if there is one.
+void LinkCore::abandon(LinkChannel Which, LinkActions &Out) {
+  if (std::exchange(channel(Which).Outstanding, 0) != 0)
+    Out.emplace_back(LinkAbandon{Which});
 }
 
 std::optional<StoreCall> LinkCore::wantedCall(LinkChannel Which,
@@ -259,7 +283,8 @@
     return StoreCall{.Kind = StoreCallKind::Watch,
                      .Key = std::string(SettingsPrefix),
                      .Version = SettingsSince_,
-                     .Wait = SettingsKnown_ ? WatchWait : Duration{}};
+                     .Wait =
+                         SettingsKnown_ && Watching_ ? WatchWait : Duration{}};
   case LinkChannel::Rosters:
     if (const auto Scope = rosterScope(); Scope && SettingsKnown_)
       return StoreCall{.Kind = StoreCallKind::Watch,
--- a/src/platform/linkcore.h
+++ b/src/platform/linkcore.h
@@ -35,10 +35,14 @@
   /// A version that is known to exist; 0 when none is.
   uint64_t KnownVersion = 0;
 };
+/// Whether this process watches or learns from its peers (WatchDuty).
+struct LinkSetWatching {
+  bool On = true;
+};
 /// Comes at nextTick() or soon after.
 struct LinkTick {};
-using LinkEvent =
-    std::variant<LinkAnswered, LinkWantRoster, UpdateRoster, LinkTick>;
+using LinkEvent = std::variant<LinkAnswered, LinkWantRoster, UpdateRoster,
+                               LinkSetWatching, LinkTick>;
 
 /// Make the call on the channel's connection to the platform's address.
 struct LinkCall {
@@ -63,6 +67,9 @@
 /// counts as silent.
 constexpr Duration WatchWait = 10s;
 constexpr Duration CallTimeout = 2s;
+/// A process that does not watch asks so often what has changed, up to half
+/// as long again at random, in case its peers know no better.
+constexpr Duration BackstopPeriod = 10min;
 /// Calls of one process on the platform, watches counted.
 constexpr uint32_t CallsPerSecond = 4;
 constexpr uint32_t CallBurst = 20;
@@ -122,6 +129,7 @@
   void on(const LinkAnswered &What, TimePoint Now, LinkActions &Out);
   void on(const LinkWantRoster &What, TimePoint Now, LinkActions &Out);
   void on(const UpdateRoster &What, TimePoint Now, LinkActions &Out);
+  void on(const LinkSetWatching &What, TimePoint Now, LinkActions &Out);
   void on(const LinkTick &What, TimePoint Now, LinkActions &Out);
 
   Channel &channel(LinkChannel Which);
@@ -137,7 +145,8 @@
                 LinkActions &Out);
   void pace(Channel &C, const StoreAnswer &Answer, TimePoint Now);
   void noteReachable(const StoreAnswer &Answer, LinkActions &Out);
-  void onSettings(const StoreAnswer &Answer, LinkActions &Out);
+  void onSettings(const StoreAnswer &Answer, TimePoint Now, LinkActions &Out);
+  void abandon(LinkChannel Which, LinkActions &Out);
   void onRosters(const StoreAnswer &Answer, LinkActions &Out);
   void onRead(const std::string &Key, const StoreAnswer &Answer, TimePoint Now,
               LinkActions &Out);
@@ -161,6 +170,7 @@
   uint64_t SettingsSince_ = 0;
   uint64_t RostersSince_ = 0;
   bool SettingsKnown_ = false;
+  bool Watching_ = true;
   uint64_t LastNumber_ = 0;
   uint64_t Marks_ = 0;
   uint64_t Session_ = 0;
--- a/src/platform/linkcore_test.cpp
+++ b/src/platform/linkcore_test.cpp
@@ -202,6 +202,8 @@
   World.Faults.BusyPerCent = Source() % 3 == 0 ? 40 : 0;
   if (Source() % 3 == 0)
     World.silence();
+  for (size_t I = 0; I < World.Processes.size(); ++I)
+    World.setWatching(I, Source() % 4 != 0);
 }
 
 TEST(LinkCore, RandomFaultsNeverDoubleAWriteOrLeaveAnyoneBehind) {
@@ -225,6 +227,8 @@
         Version = World.put("settings/zones/q", Phase % 2 ? ZoneIn : ZoneOut);
     }
     World.Faults = {};
+    for (size_t I = 0; I < Agents; ++I)
+      World.setWatching(I, true);
     for (int I = 0; I < 40; ++I) {
       World.run(1s);
       joinAll(World);
@@ -238,6 +242,29 @@
   }
 }
 
+TEST(LinkCore, AProcessThatDoesNotWatchCallsRarelyAndStillMissesNothing) {
+  FakePlatform World(1, DefaultSeed);
+  World.put("settings/zones/q", ZoneIn);
+  World.want(0, "x");
+  World.run(20s);
+  World.setWatching(0, false);
+  const uint64_t Before = World.calls();
+  const uint64_t Version = World.put("settings/zones/q", ZoneOut);
+  World.run(BackstopPeriod * 2);
+  EXPECT_LE(World.calls() - Before, 2U);
+  EXPECT_EQ(World.Processes[0].Settings["settings/zones/q"], Version);
+  const uint64_t Known =
+      World.put("rosters/a/x", rosterToJson(rosterOf("x", {1})));
+  World.want(0, "x", Known);
+  World.run(1s);
+  EXPECT_EQ(World.Processes[0].Rosters["x"].Version, Known);
+  World.setWatching(0, true);
+  World.run(1s);
+  const uint64_t Newest = World.put("settings/zones/q", ZoneIn);
+  World.run(20ms);
+  EXPECT_EQ(World.Processes[0].Settings["settings/zones/q"], Newest);
+}
+
 /// Calls on the platform, which docs/design/platform.md quotes.
 TEST(LinkCore, CallsGrowAsTheProcessesAndTheChanges) {
   for (const size_t Count : {3U, 10U, 30U, 100U}) {
