--- a/bench/bench.cpp
+++ b/bench/bench.cpp
@@ -18,6 +18,9 @@
     Workload{"join-moves", joinMoves},
     Workload{"settings-10", mergeSettings},
     Workload{"settings-13000", mergeManySettings},
+    Workload{"admit", admitToColdUpstream},
+    Workload{"ticket", issueAndCheckTickets},
+    Workload{"run", runRequests},
 };
 
 constexpr std::array Measurements = {
