--- a/scripts/lib/deployment.sh
+++ b/scripts/lib/deployment.sh
@@ -171,3 +171,12 @@
     done
   done
 }
+
+# Flows that each agent of the service holds: max over mean, and the figures.
+held_flows() { # SERVICE_INDEX
+  local i
+  for i in 0 1 2 3 4 5 6 7 8 9; do
+    [ "$(agent_service "$i")" = "$1" ] || continue
+    get "$(agent_ip "$i"):7002/status" | jq .flows
+  done | jq -rs '"max/mean \((max * length / add * 1000 | round) / 1000) of \(add) flows: \(.)"'
+}
