--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -39,13 +39,22 @@
 private:
   void onLatency(const Sample &What, TimePoint Now, AgentActions &Out);
   void grow(const Sample &What, AgentActions &Out);
+  void cut(TimePoint Now, AgentActions &Out);
   void shrink(uint32_t To, TimePoint Now, AgentActions &Out);
   void setLimit(uint32_t To, AgentActions &Out);
   uint32_t completionsToGrow() const;
+  /// A higher limit counts as borne once a whole growth's completions came.
+  bool onTrial() const { return Limit_ > Borne_; }
 
   /// Invariant: 1 <= Limit_ <= Slots_.
   uint32_t Slots_;
   uint32_t Limit_ = 1;
+  /// The highest limit that the upstream has shown to bear since the last cut.
+  /// Invariant: Borne_ <= Limit_ <= Borne_ + 1.
+  uint32_t Borne_ = 1;
+  /// Grows with each trial that failed, so that trials get rarer on an upstream
+  /// that can't bear more yet: each of them costs it dear. At most MaxPatience.
+  uint32_t Patience_ = 1;
   /// Completions at normal latency and full concurrency since the last change.
   uint32_t Completions_ = 0;
   /// How strongly recent latencies say that the upstream is cold.
