Let callers choose when to retransmit; say how to watch the system

The time until the first retransmission is now a parameter, as the RFC's section 4.8.1 allows. Calls are counted in the phase in which they ended, at most half a second after their start, so that a fault is charged with calls under way.

--- a/cli/loadcommand.cpp
+++ b/cli/loadcommand.cpp
@@ -35,16 +35,19 @@
       "rate", po::value<double>()->default_value(100),
       "calls a second")("warm-up", po::value<double>()->default_value(0),
                         "seconds over which the rate rises")(
-      "seconds", po::value<double>()->default_value(10),
-      "how long")("post-percent", po::value<uint32_t>()->default_value(30),
-                  "calls that may not be repeated")(
-      "large-percent", po::value<uint32_t>()->default_value(0),
-      "GETs of a large body")("large-bytes",
-                              po::value<uint32_t>()->default_value(65536),
-                              "bytes of a large body")(
-      "timeout-ms", po::value<uint32_t>()->default_value(5000),
-      "timeout of a call")("seed", po::value<uint64_t>()->default_value(1),
-                           "of keys, order and retransmissions")(
+      "seconds", po::value<double>()->default_value(10), "how long")(
+      "post-percent", po::value<uint32_t>()->default_value(30),
+      "calls that may not be repeated")("large-percent",
+                                        po::value<uint32_t>()->default_value(0),
+                                        "GETs of a large body")(
+      "large-bytes", po::value<uint32_t>()->default_value(65536),
+      "bytes of a large body")("timeout-ms",
+                               po::value<uint32_t>()->default_value(5000),
+                               "timeout of a call")(
+      "ack-timeout-ms", po::value<uint32_t>()->default_value(2000),
+      "until the first retransmission")("seed",
+                                        po::value<uint64_t>()->default_value(1),
+                                        "of keys, order and retransmissions")(
       "phase-at", po::value<Texts>()->composing(),
       "SECONDS=NAME: count under NAME from then on")(
       "phase-file", po::value<std::string>()->default_value(""),
@@ -131,6 +134,8 @@
   Run.LargePercent = Given["large-percent"].as<uint32_t>();
   Run.LargeBytes = Given["large-bytes"].as<uint32_t>();
   Run.Timeout = std::chrono::milliseconds(Given["timeout-ms"].as<uint32_t>());
+  Run.AckTimeout =
+      std::chrono::milliseconds(Given["ack-timeout-ms"].as<uint32_t>());
   Run.Seed = Given["seed"].as<uint64_t>();
   Run.PhaseFile = Given["phase-file"].as<std::string>();
   Run.Progress = ::isatty(STDERR_FILENO) == 1;
--- a/include/dragonflystall/caller.h
+++ b/include/dragonflystall/caller.h
@@ -38,9 +38,15 @@
   std::vector<CallResult> Done;
 };
 
+/// RFC 7252's ACK_TIMEOUT where nothing is known of the way.
+constexpr Duration DefaultAckTimeout = 2s;
+
 class Caller {
 public:
-  explicit Caller(uint64_t Seed);
+  /// AckTimeout is the least time until the first retransmission. On a way of
+  /// a few milliseconds a shorter one rides over lost packets sooner; servers
+  /// of ours acknowledge at once what takes longer to answer.
+  explicit Caller(uint64_t Seed, Duration AckTimeout = DefaultAckTimeout);
   ~Caller();
   Caller(const Caller &) = delete;
   Caller &operator=(const Caller &) = delete;
--- a/scripts/lib/deployment.sh
+++ b/scripts/lib/deployment.sh
@@ -131,8 +131,8 @@
 
 # Zones go first: a service may only name zones that exist.
 apply_settings() {
-  apply_file operations settings-zones.json
-  apply_file "$team" "settings-$team.json"
+  apply_file operations settings-zones.json &&
+    apply_file "$team" "settings-$team.json"
 }
 
 apply_file() { # TEAM FILE
--- a/src/caller/caller.cpp
+++ b/src/caller/caller.cpp
@@ -9,7 +9,7 @@
 namespace dragonflystall {
 
 struct Caller::State {
-  explicit State(uint64_t Seed) : Flow(Seed) {}
+  State(uint64_t Seed, Duration AckTimeout) : Flow(Seed, AckTimeout) {}
 
   Session Flow;
   uint64_t LastId = 0;
@@ -22,7 +22,8 @@
   std::erase_if(Calls, [](const auto &Entry) { return Entry.second.done(); });
 }
 
-Caller::Caller(uint64_t Seed) : State_(std::make_unique<State>(Seed)) {}
+Caller::Caller(uint64_t Seed, Duration AckTimeout)
+    : State_(std::make_unique<State>(Seed, AckTimeout)) {}
 
 Caller::~Caller() = default;
 
--- a/src/caller/exchange.cpp
+++ b/src/caller/exchange.cpp
@@ -74,7 +74,7 @@
   check(!TicketSent_ || (Ticket_ && Part.Echo == Ticket_),
         "a request that may have run keeps its ticket");
   TicketSent_ = TicketSent_ || Part.Echo.has_value();
-  Sending_.start(Part, Now, Flow.Bits);
+  Sending_.start(Part, Now, Flow.AckTimeout, Flow.Bits);
   Out.Send.push_back(std::move(Part));
 }
 
--- a/src/caller/session.cpp
+++ b/src/caller/session.cpp
@@ -30,8 +30,9 @@
   return std::move(Freshest.Ticket);
 }
 
-Session::Session(uint64_t Seed)
-    : Bits(Seed), NextMessageId(static_cast<uint16_t>(Bits())) {}
+Session::Session(uint64_t Seed, Duration AckTimeout)
+    : Bits(Seed), AckTimeout(AckTimeout),
+      NextMessageId(static_cast<uint16_t>(Bits())) {}
 
 /// Random, so that an answer to an earlier process at the same address and
 /// port is never taken for one of ours.
--- a/src/caller/session.h
+++ b/src/caller/session.h
@@ -30,12 +30,13 @@
 };
 
 struct Session {
-  explicit Session(uint64_t Seed);
+  Session(uint64_t Seed, Duration AckTimeout);
 
   Token newToken();
   uint16_t newMessageId() { return NextMessageId++; }
 
   Random Bits;
+  Duration AckTimeout;
   uint16_t NextMessageId;
   TicketPool Tickets;
 };
--- a/src/caller/transmission.cpp
+++ b/src/caller/transmission.cpp
@@ -6,13 +6,13 @@
 namespace {
 
 // RFC 7252, section 4.8.
-constexpr Duration AckTimeout = 2s;
 constexpr double AckRandomFactor = 1.5;
 constexpr uint32_t MaxRetransmit = 4;
 
 } // namespace
 
-void Transmission::start(Message Sent, TimePoint Now, Random &Bits) {
+void Transmission::start(Message Sent, TimePoint Now, Duration AckTimeout,
+                         Random &Bits) {
   std::uniform_real_distribution<double> Factor(1.0, AckRandomFactor);
   Sent_ = std::move(Sent);
   Active_ = true;
--- a/src/caller/transmission.h
+++ b/src/caller/transmission.h
@@ -13,7 +13,7 @@
   enum class Step : uint8_t { Nothing, Resend, GiveUp };
 
   /// Starts with the message just sent.
-  void start(Message Sent, TimePoint Now, Random &Bits);
+  void start(Message Sent, TimePoint Now, Duration AckTimeout, Random &Bits);
   /// The peer has the message: what follows is its separate response.
   void acknowledge();
   void stop() { Active_ = false; }
--- a/src/load/generator.cpp
+++ b/src/load/generator.cpp
@@ -26,8 +26,8 @@
 
 /// One flow: its socket, its caller, and the call in progress.
 struct Flow {
-  Flow(CallerSocket Socket, uint64_t Seed, uint32_t Target)
-      : Socket(std::move(Socket)), Core(Seed), Target(Target) {}
+  Flow(CallerSocket Socket, uint64_t Seed, Duration AckTimeout, uint32_t Target)
+      : Socket(std::move(Socket)), Core(Seed, AckTimeout), Target(Target) {}
 
   CallerSocket Socket;
   Caller Core;
@@ -114,7 +114,8 @@
     if (!Socket)
       return tl::unexpected(
           fmt::format("socket of flow {}: {}", I, Socket.error()));
-    Flow &Added = Flows_.emplace_back(std::move(*Socket), Bits_(), Index);
+    Flow &Added = Flows_.emplace_back(std::move(*Socket), Bits_(),
+                                      Asked_.AckTimeout, Index);
     epoll_event Watch{};
     Watch.events = EPOLLIN;
     Watch.data.u32 = I;
--- a/src/load/loadoptions.h
+++ b/src/load/loadoptions.h
@@ -33,7 +33,8 @@
   uint32_t PostPercent = 30;
   uint32_t LargePercent = 0; ///< GETs of large bodies, of all calls.
   uint32_t LargeBytes = 65536;
-  Duration Timeout = 5s; ///< Of each call.
+  Duration Timeout = 5s;    ///< Of each call.
+  Duration AckTimeout = 2s; ///< Until the first retransmission.
   uint64_t Seed = 1;
   std::vector<PhaseMark> Phases;
   /// Lines appended to this file while the load runs start new phases; the
--- a/src/load/report.cpp
+++ b/src/load/report.cpp
@@ -109,6 +109,8 @@
 
 namespace {
 
+constexpr size_t MaxShown = 20; ///< Findings in the text.
+
 std::string phaseText(const PhaseTally &P) {
   return fmt::format(
       "{:<26} {:>7} {:>7} {:>7} {:>5} {:>5} {:>6} {:>6} {:>7.2f}% {:>7.1f} "
@@ -148,8 +150,11 @@
       R.Judged.DoubleRuns.size(), R.Judged.FalseNotRun.size(),
       R.Judged.FalseRan.size(), total(R, &PhaseTally::Wrong),
       total(R, &PhaseTally::Misdelivered), R.Proof.Silent.size());
-  for (const std::string &Finding : R.Seen.findings())
-    Text += "  " + Finding + "\n";
+  const auto &Findings = R.Seen.findings();
+  for (size_t I = 0; I < std::min(Findings.size(), MaxShown); ++I)
+    Text += "  " + Findings[I] + "\n";
+  if (Findings.size() > MaxShown)
+    Text += fmt::format("  and {} more\n", Findings.size() - MaxShown);
   return Text;
 }
 
--- a/src/load/tally.cpp
+++ b/src/load/tally.cpp
@@ -9,7 +9,9 @@
 namespace {
 
 constexpr Duration FrozenAfter = 3s;
-constexpr size_t MaxFindings = 50;
+/// A fault that begins while a call is under way may be what ends it.
+constexpr Duration Grace = 500ms;
+constexpr size_t MaxFindings = 2000;
 
 double inSeconds(Duration Time) {
   return std::chrono::duration<double>(Time).count();
@@ -38,10 +40,7 @@
   return Seconds_[Index];
 }
 
-void Tally::callStarted(Duration At) {
-  ++phaseAt(At).Calls;
-  ++secondAt(At).Started;
-}
+void Tally::callStarted(Duration At) { ++secondAt(At).Started; }
 
 void Tally::noteFinding(const Sample &S, std::string_view What) {
   if (Findings_.size() == MaxFindings)
@@ -80,10 +79,11 @@
 }
 
 void Tally::add(const Sample &S) {
-  PhaseTally &Phase = phaseAt(S.Started);
+  PhaseTally &Phase = phaseAt(std::min(S.Ended, S.Started + Grace));
   SecondTally &Second = secondAt(S.Ended);
   FlowState &Flow = Flows_[S.Flow];
   Flow.Target = S.Target;
+  ++Phase.Calls;
   Phase.Attempts += S.Result.Attempts;
   Phase.Stalled += S.Result.Took > FrozenAfter ? 1 : 0;
   noteVerdict(S);
--- a/src/load/tally.h
+++ b/src/load/tally.h
@@ -26,7 +26,8 @@
   AnswerCheck Check; ///< Of answers with a body to check.
 };
 
-/// A call is counted in the phase in which it started.
+/// A call is counted in the phase in which it ended, or in the one half a
+/// second after its start when it lasted longer.
 struct PhaseTally {
   std::string Name;
   Duration Start{};
