Judge the service level in the demo and check that its processes live

Cause: a run whose fabric could not bind its address served nothing and said that all promises were kept, since no flow was ever established. Steady phases must now serve 99% of the calls and phases with a zone out 95%, and a process that ended at once fails the run.

--- a/scripts/lib/deployment.sh
+++ b/scripts/lib/deployment.sh
@@ -158,6 +158,17 @@
   for i in 0 1 2 3 4 5 6 7 8 9; do echo "$(agent_ip "$i"):8080"; done
 }
 
+# Fails when a process that was started has ended, such as for an address that
+# somebody else uses.
+check_alive() {
+  local name
+  for name in "${!pids[@]}"; do
+    alive "$name" && continue
+    echo "$name has ended: $(tail -n 1 "$work/$name.log")" >&2
+    return 1
+  done
+}
+
 await_ready() { # LIMIT_S ADMIN...
   local limit=$(($(date +%s) + $1)) admin
   shift
--- a/scripts/lib/faults.sh
+++ b/scripts/lib/faults.sh
@@ -171,11 +171,24 @@
   "platform down, balancer joins", "platform back", "platform loses answers",
   "upstream cold again"]'
 
+# Prints "PHASE: FIGURE" for each phase that the jq condition finds.
+find_phases() { # REPORT CONDITION FIGURE
+  jq -r --argjson planned "$planned" \
+    ".phases[] | select(.calls > 0 and ($2)) | \"\(.name): \($3)\"" "$1"
+}
+
 judge_phases() { # REPORT
   local line
   while read -r line; do
     broken "planned change broke flows: $line"
-  done < <(jq -r --argjson planned "$planned" '.phases[]
-    | select(.name as $n | $planned | index($n))
-    | select(.broken_flows > 0) | "\(.name): \(.broken_flows)"' "$1")
+  done < <(find_phases "$1" \
+    '.broken_flows > 0 and (.name as $n | $planned | index($n))' .broken_flows)
+  while read -r line; do
+    broken "service level without a fault: $line"
+  done < <(find_phases "$1" '.name == "steady" and .service_level < 0.99' \
+    .service_level)
+  while read -r line; do
+    broken "service level while a zone is out: $line"
+  done < <(find_phases "$1" \
+    '(.name | startswith("zone")) and .service_level < 0.95' .service_level)
 }
