--- a/scripts/lib/deployment.sh
+++ b/scripts/lib/deployment.sh
@@ -134,8 +134,8 @@
 
 # Zones go first: a service may only name zones that exist.
 apply_settings() {
-  apply_file operations settings-zones.json
-  apply_file "$team" "settings-$team.json"
+  apply_file operations settings-zones.json &&
+    apply_file "$team" "settings-$team.json"
 }
 
 apply_file() { # TEAM FILE
@@ -162,6 +162,17 @@
   for i in 0 1 2 3 4 5 6 7 8 9; do echo "$(agent_ip "$i"):8080"; done
 }
 
+# Fails when a process that was started has ended, such as for an address that
+# somebody else uses.
+check_alive() {
+  local name
+  for name in "${!pids[@]}"; do
+    alive "$name" && continue
+    echo "$name has ended: $(tail -n 1 "$work/$name.log")" >&2
+    return 1
+  done
+}
+
 await_ready() { # LIMIT_S ADMIN...
   local limit=$(($(date +%s) + $1)) admin
   shift
@@ -175,3 +186,12 @@
     done
   done
 }
+
+# Flows that each agent of the service holds: max over mean, and the figures.
+held_flows() { # SERVICE_INDEX
+  local i
+  for i in 0 1 2 3 4 5 6 7 8 9; do
+    [ "$(agent_service "$i")" = "$1" ] || continue
+    get "$(agent_ip "$i"):7002/status" | jq .flows
+  done | jq -rs '"max/mean \((max * length / add * 1000 | round) / 1000) of \(add) flows: \(.)"'
+}
