Render a balancer's status on request only

Every 200 ms the daemon rendered its status, whose size grows with the number of services. It is rendered on the loop's thread when somebody asks.

--- a/bench/bench.cpp
+++ b/bench/bench.cpp
@@ -17,6 +17,7 @@
     Workload{"steer-hit-500000", steerHitMany},
     Workload{"steer-miss", steerMiss},
     Workload{"join-moves", joinMoves},
+    Workload{"change-settings", changeSettings},
     Workload{"admit", admitToColdUpstream},
     Workload{"ticket", issueAndCheckTickets},
     Workload{"run", runRequests},
--- a/bench/bench.h
+++ b/bench/bench.h
@@ -68,6 +68,7 @@
 Outcome steerHitMany();
 Outcome steerMiss();
 Outcome joinMoves();
+Outcome changeSettings();
 // bench/admitbench.cpp
 Outcome admitToColdUpstream();
 // bench/ticketbench.cpp
--- a/bench/steerbench.cpp
+++ b/bench/steerbench.cpp
@@ -150,6 +150,45 @@
   return steerAll(Core, packetsOf(ManyFlows));
 }
 
+// What a change of one service costs a balancer that knows all of them, at the
+// size to come: 13,000 addresses, ten agents behind each.
+Outcome changeSettings() {
+  constexpr uint32_t Services = 13'000;
+  constexpr uint32_t Changes = 20;
+  Settings Value;
+  Value.Zones = oneService()->Zones;
+  for (uint32_t I = 0; I < Services; ++I) {
+    ServiceSettings Service;
+    Service.Id = ServiceId{I + 1};
+    Service.Addresses = {Endpoint{0x0b000000 + I, 5683}};
+    Value.Services.push_back(Service);
+  }
+  Value.Version = 1;
+  BalancerCore Core({"zone", {0x7f010101, 7000}, FewFlows});
+  BalancerActions Actions;
+  Core.handle(SettingsUpdate{std::make_shared<Settings>(Value)}, Now, Actions);
+  Roster Agents = rosterOf(AgentCount);
+  for (const ServiceSettings &Service : Value.Services) {
+    Agents.Service = Service.Id;
+    Core.handle(RosterUpdate{Agents}, Now, Actions);
+  }
+  Outcome Result;
+  for (uint32_t I = 0; I < Changes; ++I) {
+    ++Value.Version;
+    Value.Services[I].MaxSlots += 1;
+    const SettingsUpdate Update{std::make_shared<Settings>(Value)};
+    Actions.clear();
+    const double Start = threadSeconds();
+    Core.handle(Update, Now, Actions);
+    Result.Seconds += threadSeconds() - Start;
+    Result.Signature = mix(Result.Signature, Core.settingsVersion());
+  }
+  Result.Decisions = Changes;
+  Result.Remark = fmt::format("one service of {} changes: {:.2f} ms", Services,
+                              1000 * Result.Seconds / Changes);
+  return Result;
+}
+
 Outcome joinMoves() {
   Outcome Result;
   const double Start = threadSeconds();
--- a/src/steering/balancerdaemon.cpp
+++ b/src/steering/balancerdaemon.cpp
@@ -5,6 +5,7 @@
 #include "wire/convert.h"
 
 #include <algorithm>
+#include <future>
 #include <random>
 
 namespace dragonflystall {
@@ -13,7 +14,8 @@
 
 constexpr Duration TickPeriod = 50ms;
 constexpr Duration GossipPeriod = 1s;
-constexpr Duration PublishPeriod = 200ms;
+/// How long a request on the admin port waits for the loop.
+constexpr Duration RenderTimeout = 1s;
 constexpr size_t TimelineCapacity = 8192; // events
 /// A stopping balancer goes on until no packet came for a while, so that
 /// answers to what it forwarded still find their callers.
@@ -64,17 +66,12 @@
 
 tl::expected<void, std::string> BalancerDaemon::startAdmin() {
   AdminHandlers Handlers;
-  Handlers.Ready = [this] {
-    const std::lock_guard Lock(PublishedMutex_);
-    return PublishedReady_;
-  };
+  Handlers.Ready = [this] { return Ready_.load(); };
   Handlers.StatusJson = [this] {
-    const std::lock_guard Lock(PublishedMutex_);
-    return PublishedStatus_;
+    return onLoop([this] { return statusJson(status(), Forwarder_.core()); });
   };
   Handlers.MetricsText = [this] {
-    const std::lock_guard Lock(PublishedMutex_);
-    return PublishedMetrics_;
+    return onLoop([this] { return metricsText(status(), Forwarder_.core()); });
   };
   Handlers.TimelineJson = [this](uint64_t Since) {
     return Timeline_.snapshotJson(Since);
@@ -113,7 +110,6 @@
   });
   Loop_.every(TickPeriod, [this] { onTick(); });
   Loop_.every(GossipPeriod, [this] { gossip(); });
-  Loop_.every(PublishPeriod, [this] { publish(); });
   Event Started;
   Started.Kind = EventKind::Started;
   Started.Value = static_cast<uint64_t>(Self_.Start);
@@ -240,11 +236,12 @@
   Event Stopping;
   Stopping.Kind = EventKind::Stopping;
   record(Stopping);
-  publish();
+  Ready_ = false;
 }
 
 void BalancerDaemon::onTick() {
   Forwarder_.handle(Tick{});
+  Ready_ = Forwarder_.core().ready() && !StoppingSince_;
   if (!StoppingSince_)
     return;
   const TimePoint Now = Clock_.now();
@@ -253,7 +250,18 @@
     Loop_.stop();
 }
 
-void BalancerDaemon::publish() {
+// A service's status costs time; it is rendered when somebody asks only.
+std::string BalancerDaemon::onLoop(std::function<std::string()> Render) {
+  auto Task =
+      std::make_shared<std::packaged_task<std::string()>>(std::move(Render));
+  std::future<std::string> Result = Task->get_future();
+  Loop_.post([Task] { (*Task)(); });
+  if (Result.wait_for(RenderTimeout) != std::future_status::ready)
+    return {};
+  return Result.get();
+}
+
+BalancerStatus BalancerDaemon::status() const {
   BalancerStatus Status;
   Status.Name = Host_.Name;
   Status.Zone = Host_.Zone;
@@ -269,12 +277,7 @@
   Status.MalformedMessages = Bus_->malformed();
   Status.ForeignMessages = ForeignMessages_;
   Status.UnsentPackets = Forwarder_.unsent();
-  std::string Json = statusJson(Status, Forwarder_.core());
-  std::string Metrics = metricsText(Status, Forwarder_.core());
-  const std::lock_guard Lock(PublishedMutex_);
-  PublishedStatus_ = std::move(Json);
-  PublishedMetrics_ = std::move(Metrics);
-  PublishedReady_ = Forwarder_.core().ready() && !StoppingSince_;
+  return Status;
 }
 
 } // namespace dragonflystall
--- a/src/steering/balancerdaemon.h
+++ b/src/steering/balancerdaemon.h
@@ -11,10 +11,12 @@
 #include "settings/peerfilter.h"
 #include "shell/controlbus.h"
 #include "shell/loop.h"
+#include "steering/balancerstatus.h"
 #include "steering/forwarder.h"
 
+#include <atomic>
+#include <functional>
 #include <memory>
-#include <mutex>
 #include <string>
 #include <tl/expected.hpp>
 
@@ -47,7 +49,9 @@
   void gossip();
   void onTick();
   void onStop();
-  void publish();
+  /// Renders on the loop's thread for another one; empty when that is busy.
+  std::string onLoop(std::function<std::string()> Render);
+  BalancerStatus status() const;
 
   HostSettings Host_;
   SystemClock Clock_;
@@ -64,10 +68,7 @@
   /// Set when a graceful shutdown began.
   std::optional<TimePoint> StoppingSince_;
 
-  mutable std::mutex PublishedMutex_;
-  std::string PublishedStatus_;  ///< Guarded by PublishedMutex_.
-  std::string PublishedMetrics_; ///< Guarded by PublishedMutex_.
-  bool PublishedReady_ = false;  ///< Guarded by PublishedMutex_.
+  std::atomic<bool> Ready_ = false; ///< For the threads of Admin_.
 
   // Their threads use what stands above: they end first.
   std::unique_ptr<PlatformLink> Link_;
