Close control connections into a zone that is out

Cause: ZeroMQ's own heartbeats went on over an idle connection for up to a minute after a zone was taken out, and reconnects to it as well. Both daemons now close the connections that the settings no longer allow as soon as those are in force. A balancer's exchange with peers no longer draws itself.

--- a/src/agent/agentdaemon.cpp
+++ b/src/agent/agentdaemon.cpp
@@ -249,6 +249,7 @@
   for (const Event &What : Events)
     carryOut(What);
   Filter_.update(View_.current());
+  Bus_->closeUnless([this](Endpoint Peer) { return Filter_.allows(Peer.Ip); });
   handle(SettingsUpdate{View_.current()});
 }
 
--- a/src/shell/controlbus.cpp
+++ b/src/shell/controlbus.cpp
@@ -168,6 +168,11 @@
 
 void ControlBus::replace(Endpoint Peer) { State_->Peers.erase(Peer); }
 
+void ControlBus::closeUnless(const std::function<bool(Endpoint Peer)> &Wanted) {
+  for (auto It = State_->Peers.begin(); It != State_->Peers.end();)
+    It = Wanted(It->first) ? std::next(It) : State_->Peers.erase(It);
+}
+
 void ControlBus::tick(TimePoint Now) {
   for (auto It = State_->Peers.begin(); It != State_->Peers.end();) {
     PeerSocket &Each = It->second;
--- a/src/shell/shell_test.cpp
+++ b/src/shell/shell_test.cpp
@@ -133,6 +133,18 @@
   EXPECT_EQ(Seen_.back(), 2U);
 }
 
+TEST_F(ControlBusTest, AClosedConnectionSendsNothingThatWaited) {
+  const auto Sender = ControlBus::bind(First);
+  ASSERT_TRUE(Sender);
+  send(**Sender, 1);
+  (*Sender)->closeUnless([](Endpoint) { return false; });
+  const auto Receiver = ControlBus::bind(Second);
+  ASSERT_TRUE(Receiver);
+  send(**Sender, 2);
+  await(**Receiver, 1);
+  EXPECT_EQ(Seen_, std::vector<uint64_t>{2});
+}
+
 TEST_F(ControlBusTest, AFullQueueDropsAndNeverBlocks) {
   const auto Sender = ControlBus::bind(First);
   ASSERT_TRUE(Sender);
--- a/src/steering/balancerdaemon.cpp
+++ b/src/steering/balancerdaemon.cpp
@@ -205,6 +205,7 @@
   for (const Event &What : Events)
     record(What);
   Filter_.update(View_.current());
+  Bus_->closeUnless([this](Endpoint Peer) { return Filter_.allows(Peer.Ip); });
   if (Host_.Mode == EntryMode::Direct)
     Forwarder_.entry().bindServices(*View_.current());
   Forwarder_.handle(SettingsUpdate{View_.current()});
@@ -213,6 +214,7 @@
 // As many agents as configured peers, so that an exchange reaches either kind.
 std::vector<Endpoint> BalancerDaemon::gossipPeers() {
   std::vector<Endpoint> Peers = Host_.Peers;
+  std::erase(Peers, Host_.Control);
   for (size_t I = 0; I <= Host_.Peers.size(); ++I)
     if (auto Drawn = Forwarder_.core().drawPeer(Random_()))
       Peers.push_back(*Drawn);
