--- a/src/shell/controlbus.h
+++ b/src/shell/controlbus.h
@@ -38,8 +38,8 @@
   /// The peer was not heard for too long: drop the connection to it, so that
   /// the next send makes a new one.
   void replace(Endpoint Peer);
-  /// Closes the connections to all other peers, and what waits for them: not
-  /// even a heartbeat goes to a zone that is out.
+  /// Closes the connections to all other peers, within milliseconds: not even
+  /// a heartbeat goes to a zone that is out.
   void closeUnless(const std::function<bool(Endpoint Peer)> &Wanted);
   /// Closes connections that were not used for a minute.
   void tick(TimePoint Now);
