--- a/src/requests/blockwise.cpp
+++ b/src/requests/blockwise.cpp
@@ -53,13 +53,13 @@
     return;
   }
   Bodies.drop(Key);
-  refuseUpload(Flow, Whole, std::move(To), answerFor(Step), Now, Out);
+  refuseUpload(Flow, Whole, To, answerFor(Step), Now, Out);
 }
 
 /// The refusal says "not run", so the ticket is burnt first. Whoever comes
 /// with it again is asked to take a new one.
 void Requests::State::refuseUpload(const FlowKey &Flow, const Message &Request,
-                                   ReplyTo To, Answer Why, TimePoint Now,
+                                   const ReplyTo &To, Answer Why, TimePoint Now,
                                    AgentActions &Out) {
   const TicketCheck Checked = Tickets.check(Flow, *Request.Echo, Now);
   if (!isIdempotent(Request.Kind) && Checked.State == TicketState::Fresh) {
@@ -76,7 +76,7 @@
 
 /// A later block of an answer: never a reason to run the request again.
 void Requests::State::onLaterBlock(const FlowKey &Flow, const Message &Request,
-                                   ReplyTo To, TimePoint Now,
+                                   const ReplyTo &To, TimePoint Now,
                                    AgentActions &Out) {
   Message Value;
   if (Answers.cut(To.Asked, *Request.Block2, Now, Value)) {
--- a/src/requests/intake.cpp
+++ b/src/requests/intake.cpp
@@ -106,7 +106,7 @@
     return;
   }
   if (Request.Block2 && Request.Block2->Number > 0) {
-    onLaterBlock(Flow, Request, std::move(To), Now, Out);
+    onLaterBlock(Flow, Request, To, Now, Out);
     return;
   }
   const bool InBlocks =
--- a/src/requests/spilling.cpp
+++ b/src/requests/spilling.cpp
@@ -164,9 +164,9 @@
   });
   std::vector<uint64_t> Lost;
   for (auto &[Id, Each] : Spills) {
-    if (Each.Queries >= MaxQueries && Now >= Each.NextQuery)
-      Lost.push_back(Id);
-    else if (Now >= Jobs.at(Each.Job).Work.Deadline + SpillGrace)
+    const bool Silent = Each.Queries >= MaxQueries && Now >= Each.NextQuery;
+    const TimePoint Deadline = Jobs.at(Each.Job).Work.Deadline;
+    if (Silent || Now >= Deadline + SpillGrace)
       Lost.push_back(Id);
     else if (Now >= Each.NextQuery)
       query(Id, Each, Now, Out);
--- a/src/requests/state.h
+++ b/src/requests/state.h
@@ -110,10 +110,11 @@
   // blockwise.cpp
   void onUpload(const FlowKey &Flow, const Message &Part, ReplyTo To,
                 TimePoint Now, AgentActions &Out);
-  void refuseUpload(const FlowKey &Flow, const Message &Request, ReplyTo To,
-                    Answer Why, TimePoint Now, AgentActions &Out);
-  void onLaterBlock(const FlowKey &Flow, const Message &Request, ReplyTo To,
-                    TimePoint Now, AgentActions &Out);
+  void refuseUpload(const FlowKey &Flow, const Message &Request,
+                    const ReplyTo &To, Answer Why, TimePoint Now,
+                    AgentActions &Out);
+  void onLaterBlock(const FlowKey &Flow, const Message &Request,
+                    const ReplyTo &To, TimePoint Now, AgentActions &Out);
 
   // spilling.cpp
   std::shared_ptr<wire::ControlMessage> controlMessage() const;
--- a/src/requests/ticket_test.cpp
+++ b/src/requests/ticket_test.cpp
@@ -23,7 +23,7 @@
   }
 }
 
-RC_GTEST_PROP(Tickets, ForeignBytesNeverRun, (std::string Bytes)) {
+RC_GTEST_PROP(Tickets, ForeignBytesNeverRun, (const std::string &Bytes)) {
   const TicketBook Book(Issuer, 1);
   for (const size_t Size : {Bytes.size(), TicketBytes}) {
     std::string Echo = Bytes;
--- a/src/requests/upstreamclient_test.cpp
+++ b/src/requests/upstreamclient_test.cpp
@@ -36,7 +36,7 @@
     Thread_.join();
   }
 
-  UpstreamAnswer outcomeOf(UpstreamClient &Client, RunUpstream Request) {
+  UpstreamAnswer outcomeOf(UpstreamClient &Client, const RunUpstream &Request) {
     Answer_ = {};
     auto Pending = Answer_.get_future();
     Client.run(Request);
