Test that a dead successor leaves flows fenced and that homes keep promises

Cause: trials with the check taken out (the fence kept after a lost hand-over, the flow left to a home that asked) passed all tests.

No functional change.

--- a/src/flows/fakecluster_test.h
+++ b/src/flows/fakecluster_test.h
@@ -190,7 +190,7 @@
     P.Decoded.Kind = Code::Post;
     if (Ticket)
       P.Decoded.Echo = "ticket";
-    datagram(Agents.at(To).Identity.Self.Data, std::move(P));
+    datagram(Agents.at(To).Identity.Self.Data, P);
   }
   static Endpoint callerOf(uint32_t Caller) { return {0x0a000000 + Caller, 9}; }
   static FlowKey flowOf(uint32_t Caller) {
@@ -295,7 +295,7 @@
       P.Header = Send->Header;
       P.Payload = Send->Payload;
       P.Decoded.Kind = Code::Post;
-      datagram(Send->To, std::move(P));
+      datagram(Send->To, P);
     } else if (auto *Peer = std::get_if<SendPeer>(&Action)) {
       ControlBytes += Peer->Value->ByteSizeLong();
       control(Peer->To, Peer->Value);
--- a/src/flows/flows_test.cpp
+++ b/src/flows/flows_test.cpp
@@ -1,6 +1,7 @@
 // What a service's agents do together: joining, placing, handing over and
 // giving up flows, each under the faults that it is meant for.
 #include "flows/fakecluster_test.h"
+#include "wire/convert.h"
 
 #include <gtest/gtest.h>
 
@@ -204,6 +205,48 @@
   EXPECT_TRUE(C.GivenUp.empty());
 }
 
+/// The successor may have run requests before it died.
+TEST_F(Deployment, HandOverToADeadSuccessorStaysFenced) {
+  startAll(2);
+  requests(0, 40);
+  C.run(1s);
+  FakeAgent &Giver = C.Agents.at(name(0));
+  const auto Flows = Giver.Store.Count;
+  C.leave(name(0));
+  C.kill(name(1));
+  C.run(15s);
+  EXPECT_EQ(Giver.Core->size(), 0U);
+  for (const auto &[Flow, Count] : Flows)
+    EXPECT_TRUE(Giver.Store.Fenced.contains(Flow));
+}
+
+/// "Not here" is an answer that the asker may place the flow on.
+TEST_F(Deployment, FlowThatAPeerAskedAboutIsLeftToIt) {
+  startAll();
+  const FlowKey Flow = FakeCluster::flowOf(5);
+  const RosterEntry *Home =
+      homeOf(C.Stored, Flow, [](const RosterEntry &) { return true; });
+  const RosterEntry &Asker =
+      C.Stored.Agents[Home == &C.Stored.Agents[0] ? 1 : 0];
+  wire::ControlMessage Question;
+  *Question.mutable_sender() = wire::toWire(Asker.Agent);
+  *Question.mutable_reply_to() = wire::toWire(Asker.Control);
+  Question.set_service(static_cast<uint64_t>(FakeCluster::service()));
+  Question.set_roster_version(C.Stored.Version);
+  *Question.mutable_locate()->add_flows() = wire::toWire(Flow);
+  FlowsOutput Out;
+  C.Agents.at(Home->Name).Core->onPeer(Question, C.Now, Out);
+  Endpoint To;
+  C.OnAction = [&](const FakeAgent &A, const AgentAction &Action) {
+    const auto *Send = std::get_if<SendDatagram>(&Action);
+    if (Send && A.Identity.Self.Name == Home->Name)
+      To = To ? To : Send->To;
+  };
+  C.request(Home->Name, 5);
+  C.run(100ms);
+  EXPECT_EQ(To, Asker.Data);
+}
+
 TEST_F(Deployment, BusyFlowsMoveOnlyWhenTheirRequestsEnd) {
   startAll();
   requests(0, 100);
--- a/src/flows/membership.cpp
+++ b/src/flows/membership.cpp
@@ -57,10 +57,12 @@
   if (!ReplyTo)
     return;
   const uint64_t Own = Peers_.roster().Version;
-  if (Value.has_roster_pull() && Value.roster_pull().known_version() < Own)
-    push(*ReplyTo, Out);
-  else if (Value.has_heartbeat() && Value.roster_version() < Own &&
-           !Peers_.find(AgentId{Value.sender().id()}))
+  const bool Asked =
+      Value.has_roster_pull() && Value.roster_pull().known_version() < Own;
+  // An agent that was removed gets no heartbeats from which it could learn.
+  const bool Removed = Value.has_heartbeat() && Value.roster_version() < Own &&
+                       !Peers_.find(AgentId{Value.sender().id()});
+  if (Asked || Removed)
     push(*ReplyTo, Out);
   if (Value.roster_version() <= Own)
     return;
--- a/src/flows/peers.cpp
+++ b/src/flows/peers.cpp
@@ -286,9 +286,8 @@
   std::vector<Candidate> Result;
   // Each home sees about the same share of the new flows.
   const auto OtherHomes = static_cast<uint32_t>(
-      std::count_if(All_.begin(), All_.end(), [&](const Peer &P) {
-        return !P.Self && mayBeHome(P);
-      }));
+      std::count_if(All_.begin(), All_.end(),
+                    [&](const Peer &P) { return !P.Self && mayBeHome(P); }));
   for (const Peer &P : All_) {
     if (P.Entry.Agent.Id == Except || !mayBeHome(P))
       continue;
