--- a/cli/timelinecommand.cpp
+++ b/cli/timelinecommand.cpp
@@ -37,6 +37,7 @@
       "request", po::value<std::string>()->default_value(""),
       "only events of this request, as the lines name it")(
       "since", po::value<double>(), "only the last so many seconds")(
+      "rare", "leave out events of single packets, flows and requests")(
       "follow", "go on with new events until interrupted")(
       "json", "print the JSON lines")(
       "html", po::value<std::string>()->default_value(""),
@@ -65,6 +66,7 @@
   Options.Filter.Request = Given["request"].as<std::string>();
   if (Given.count("since") != 0)
     Options.Filter.Since = secondsAgo(Given["since"].as<double>());
+  Options.Filter.RareOnly = Given.count("rare") != 0;
   Options.Follow = Given.count("follow") != 0;
   Options.Json = Given.count("json") != 0;
   Options.HtmlFile = Given["html"].as<std::string>();
--- a/src/load/htmlreport.cpp
+++ b/src/load/htmlreport.cpp
@@ -83,16 +83,16 @@
   return Result;
 }
 
-std::string phaseRow(const PhaseTally &P) {
+std::string phaseRow(const PhaseTally &P, size_t Number) {
   const bool Bad = P.Wrong + P.Misdelivered + P.BrokenFlows.size() > 0;
   const double Level = P.Calls == 0 ? 100
                                     : 100 * static_cast<double>(P.Served) /
                                           static_cast<double>(P.Calls);
   return fmt::format(
-      "<tr{}><td>{}</td><td>{:.1f}</td><td>{}</td><td>{}</td><td>{}</td>"
+      "<tr{}><td>{} {}</td><td>{:.1f}</td><td>{}</td><td>{}</td><td>{}</td>"
       "<td>{}</td><td>{}</td><td>{}</td><td>{}</td><td>{}</td><td>{:.2f}</td>"
       "<td>{:.1f}</td><td>{:.1f}</td></tr>\n",
-      Bad ? " class=\"bad\"" : "", escapeHtml(P.Name),
+      Bad ? " class=\"bad\"" : "", Number, escapeHtml(P.Name),
       std::chrono::duration<double>(P.Start).count(), P.Calls, P.Served,
       P.Refused, P.MayHaveRun, P.Failed, P.Wrong + P.Misdelivered,
       P.BrokenFlows.size(), P.Stalled, Level, 1e3 * P.Latency.quantile(0.5),
@@ -105,8 +105,9 @@
       "<th>not run</th><th>may have run</th><th>failed</th>"
       "<th>wrong</th><th>broken flows</th><th>over 3 s</th>"
       "<th>service %</th><th>p50 ms</th><th>p99 ms</th></tr>\n";
+  size_t Number = 0;
   for (const PhaseTally &P : R.Seen.phases())
-    Table += phaseRow(P);
+    Table += phaseRow(P, ++Number);
   return Table + "</table>\n";
 }
 
--- a/src/load/svgchart.cpp
+++ b/src/load/svgchart.cpp
@@ -17,7 +17,7 @@
 constexpr double Height = 260;
 constexpr double Left = 60;
 constexpr double Right = 180; ///< Room for the legend.
-constexpr double Top = 70;    ///< Room for the names of the phases.
+constexpr double Top = 70;    ///< Room for the numbers of the phases.
 constexpr double Bottom = 30;
 constexpr double PlotWidth = Width - Left - Right;
 constexpr double PlotHeight = Height - Top - Bottom;
@@ -82,7 +82,7 @@
   return Svg;
 }
 
-/// Names of neighbouring phases take turns over three heights.
+/// Numbers of neighbouring phases take turns over three heights.
 std::string marksSvg(const Scale &S, const std::vector<ChartMark> &Marks) {
   constexpr int Heights = 3;
   constexpr double NameLine = 13;
@@ -92,9 +92,9 @@
     const double NameY = Top - 8 - NameLine * static_cast<double>(I % Heights);
     Svg += fmt::format(
         R"(<line class="mark" x1="{0:.1f}" x2="{0:.1f}" y1="{1:.1f}" y2="{2}"/>)"
-        R"(<text class="phase" x="{3:.1f}" y="{1:.1f}">{4}</text>)"
+        R"(<text class="phase" x="{3:.1f}" y="{1:.1f}">{4}<title>{5}</title></text>)"
         "\n",
-        X, NameY, Top + PlotHeight, X + 3, escapeHtml(Marks[I].Name));
+        X, NameY, Top + PlotHeight, X + 3, I + 1, escapeHtml(Marks[I].Name));
   }
   return Svg;
 }
--- a/src/load/svgchart.h
+++ b/src/load/svgchart.h
@@ -12,6 +12,7 @@
   std::vector<double> Values; ///< One a second.
 };
 
+/// Drawn with its number, counted from one; the name shows on hovering.
 struct ChartMark {
   double Second = 0;
   std::string Name;
--- a/src/observe/story.cpp
+++ b/src/observe/story.cpp
@@ -1,6 +1,8 @@
 // Reads, filters, orders and prints the events of many processes.
 #include "observe/story.h"
 
+#include "observe/log.h"
+
 #include <algorithm>
 #include <charconv>
 #include <fmt/chrono.h>
@@ -32,11 +34,23 @@
   return E.At == 0 || E.Kind.empty() ? std::nullopt : std::optional(E);
 }
 
+/// Kinds that a newer process knows and we don't are shown.
+bool isRare(const std::string &Kind) {
+  const auto *It =
+      std::find(EventKindNames.begin(), EventKindNames.end(), Kind);
+  if (It == EventKindNames.end())
+    return true;
+  const auto Known = static_cast<EventKind>(It - EventKindNames.begin());
+  return levelOf(Known) != LogLevel::Debug;
+}
+
 } // namespace
 
 bool StoryFilter::accepts(const StoryEvent &E) const {
   if (E.At < Since)
     return false;
+  if (RareOnly && !isRare(E.Kind))
+    return false;
   if (!Caller.empty() && E.Caller != Caller)
     return false;
   return Request.empty() || E.Request == Request;
--- a/src/observe/story.h
+++ b/src/observe/story.h
@@ -28,6 +28,8 @@
   std::string Caller;  ///< Empty: all.
   std::string Request; ///< Empty: all.
   HybridTime Since = 0;
+  /// Leaves out events of single packets, flows and requests.
+  bool RareOnly = false;
 
   bool accepts(const StoryEvent &E) const;
 };
--- /dev/null
+++ b/src/observe/story_test.cpp
@@ -0,0 +1,61 @@
+// The merged time line: its order, its filters, its page.
+#include "observe/story.h"
+
+#include <gtest/gtest.h>
+
+namespace dragonflystall {
+namespace {
+
+std::string line(HybridTime At, EventKind Kind, Endpoint Caller = {}) {
+  StampedEvent E;
+  E.At = At;
+  E.What.Kind = Kind;
+  if (Caller)
+    E.What.Flow = {ServiceId{1}, Caller};
+  return eventJson(At % 2 == 0 ? "p0" : "p1", E);
+}
+
+const Endpoint Scanner{1, 1};
+const Endpoint Other{1, 2};
+
+TEST(Story, EventsOfAllProcessesComeInOneOrder) {
+  Story Whole;
+  Whole.add(line(5, EventKind::Started) + line(9, EventKind::Stopping), {});
+  Whole.add(line(6, EventKind::ZoneOut) + "no JSON\n{}\n", {});
+  Whole.sort();
+  ASSERT_EQ(Whole.events().size(), 3U);
+  EXPECT_EQ(Whole.events()[1].Kind, "zone-out");
+  EXPECT_EQ(Whole.next(), 10U);
+}
+
+TEST(Story, FiltersTellOneFlowsStory) {
+  const std::string Lines = line(1, EventKind::FlowPlaced, Scanner) +
+                            line(2, EventKind::FlowPlaced, Other) +
+                            line(3, EventKind::FlowHandedOver, Scanner) +
+                            line(4, EventKind::ZoneOut);
+  Story Whole;
+  Whole.add(Lines, {.Caller = toString(Scanner), .Request = "", .Since = 2});
+  ASSERT_EQ(Whole.events().size(), 1U);
+  EXPECT_EQ(Whole.events()[0].Kind, "flow-handed-over");
+  Story Rare;
+  StoryFilter OnlyRare;
+  OnlyRare.RareOnly = true;
+  Rare.add(Lines, OnlyRare);
+  ASSERT_EQ(Rare.events().size(), 1U);
+  EXPECT_EQ(Rare.events()[0].Kind, "zone-out");
+}
+
+TEST(Story, PageShowsWhatProcessesSaidAsTextOnly) {
+  StampedEvent E;
+  E.At = 1;
+  E.What.Detail = "<script>alert(1)</script>";
+  Story Whole;
+  Whole.add(eventJson("p", E), {});
+  const std::string Page = toHtml(Whole);
+  EXPECT_EQ(Page.find("<script>alert"), std::string::npos);
+  EXPECT_NE(Page.find("&lt;script&gt;alert"), std::string::npos);
+  EXPECT_NE(toHtml(Story()).find("No event"), std::string::npos);
+}
+
+} // namespace
+} // namespace dragonflystall
