--- a/src/load/load_test.cpp
+++ b/src/load/load_test.cpp
@@ -47,11 +47,11 @@
   S.Started = Started;
   S.Ended = Ended;
   S.Post = true;
-  S.Key = "k";
+  S.Key = "some-key";
   S.Result.Outcome = V;
   S.Result.Kind = Kind;
   if (V == Verdict::Ran)
-    S.Check = {Correctness::Right, "u"};
+    S.Check = {Correctness::Right, "upstream"};
   return S;
 }
 
