Spill what has not run without a retry budget, by what peers still owe

Cause: requests of a cold upstream's flows were refused though its peers stood idle: each spill spent the retry budget of 10%, and one that a peer had answered long ago still counted against that peer for a second. Change: the budget is for tries after the upstream had the request; a peer's spare is what it says less what it has not answered yet.

--- a/src/requests/execution.cpp
+++ b/src/requests/execution.cpp
@@ -145,11 +145,11 @@
     return;
   case UpstreamOutcome::Shed:
   case UpstreamOutcome::Refused:
-    if (!trySpill(Value, Now, Out))
+    if (!retryElsewhere(Value, Now, Out))
       refuse(Value, Now, Out);
     return;
   case UpstreamOutcome::Failed:
-    if (isIdempotent(Value.Work.Method) && trySpill(Value, Now, Out))
+    if (isIdempotent(Value.Work.Method) && retryElsewhere(Value, Now, Out))
       return;
     finish(Value, bareAnswer(Code::BadGateway, Verdict::MayHaveRun), Now, Out);
     return;
--- a/src/requests/spilling.cpp
+++ b/src/requests/spilling.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-/// How long a peer's view lags behind what was sent to it: one heartbeat.
-constexpr Duration ViewAge = 1s;
+/// The retry-after of a spill that is refused here.
+constexpr Duration RefusalPause = 1s;
 /// A peer that does not answer is asked at this interval.
 constexpr Duration QueryInterval = 300ms;
 /// So many queries without a word, and the peer counts as lost.
@@ -73,28 +73,29 @@
   return Value;
 }
 
-/// What the peer says that it bears, less what was sent to it since.
-uint32_t Requests::State::spareOf(const PeerView &Peer, TimePoint Now) const {
+/// What the peer says that it bears, less what it has not answered yet. An
+/// answered one no longer counts, else a quick peer would get few a second.
+uint32_t Requests::State::spareOf(const PeerView &Peer) const {
   if (Peer.Suspected || Peer.Leaving)
     return 0;
-  const auto Recent = static_cast<uint32_t>(
-      std::ranges::count_if(SpillsSent, [&](const SentSpill &Sent) {
-        return Sent.To == Peer.Agent && Now - Sent.At < ViewAge;
+  const auto Open = static_cast<uint32_t>(
+      std::ranges::count_if(Spills, [&](const auto &Entry) {
+        return Entry.second.Peer == Peer.Agent;
       }));
-  const uint32_t Taken = Peer.Running + Peer.Queued + Recent;
+  const uint32_t Taken = Peer.Running + Peer.Queued + Open;
   return Peer.Limit - std::min(Peer.Limit, Taken);
 }
 
 /// Drawn by spare: many agents with the same view must not all pick one.
-const PeerView *Requests::State::pickPeer(TimePoint Now) {
+const PeerView *Requests::State::pickPeer() {
   uint64_t Total = 0;
   for (const PeerView &Each : Peers)
-    Total += spareOf(Each, Now);
+    Total += spareOf(Each);
   if (Total == 0)
     return nullptr;
   uint64_t Pick = Random() % Total;
   for (const PeerView &Each : Peers) {
-    const uint32_t Spare = spareOf(Each, Now);
+    const uint32_t Spare = spareOf(Each);
     if (Pick < Spare)
       return &Each;
     Pick -= Spare;
@@ -103,23 +104,20 @@
 }
 
 /// False: it stays here. A request is spilled once, and a spilled one never
-/// again; a leaving agent's requests are not counted against the budget.
+/// again. It has not run, so this adds no work and needs no retry budget; the
+/// peers' spare bounds it.
 bool Requests::State::trySpill(Job &Value, TimePoint Now, AgentActions &Out) {
-  const bool Allowed = Leaving || Retries.available();
-  if (Value.Origin || Value.TriedElsewhere || Value.Cancelled || !Allowed ||
+  if (Value.Origin || Value.TriedElsewhere || Value.Cancelled ||
       Now + Limit.typicalLatency() >= Value.Work.Deadline)
     return false;
-  const PeerView *Peer = pickPeer(Now);
+  const PeerView *Peer = pickPeer();
   if (Peer == nullptr)
     return false;
-  if (!Leaving)
-    Retries.spend();
   const uint64_t Id = NextSpill++;
   Value.Phase = JobPhase::Spilled;
   Value.SpillId = Id;
   Value.TriedElsewhere = true;
   Spills[Id] = {Value.Id, Peer->Agent, Peer->Control, Now + QueryInterval, 0};
-  SpillsSent.push_back({Peer->Agent, Now});
   auto Sent = controlMessage();
   wire::Spill &Body = *Sent->mutable_spill();
   Body.set_id(Id);
@@ -135,6 +133,19 @@
   return true;
 }
 
+/// The upstream had it and did not finish it: another try is extra work. A
+/// leaving agent's requests are few and need no budget.
+bool Requests::State::retryElsewhere(Job &Value, TimePoint Now,
+                                     AgentActions &Out) {
+  if (!Leaving && !Retries.available())
+    return false;
+  if (!trySpill(Value, Now, Out))
+    return false;
+  if (!Leaving)
+    Retries.spend();
+  return true;
+}
+
 void Requests::State::onSpillReply(const wire::ControlMessage &Value,
                                    TimePoint Now, AgentActions &Out) {
   const wire::SpillReply &Reply = Value.spill_reply();
@@ -159,9 +170,6 @@
 
 /// Asks peers that are silent; without a word from them nothing is certain.
 void Requests::State::sweepSpills(TimePoint Now, AgentActions &Out) {
-  std::erase_if(SpillsSent, [Now](const SentSpill &Sent) {
-    return Now - Sent.At >= ViewAge;
-  });
   std::vector<uint64_t> Lost;
   for (auto &[Id, Each] : Spills) {
     const bool Silent = Each.Queries >= MaxQueries && Now >= Each.NextQuery;
@@ -226,7 +234,7 @@
   const bool Room = !Leaving && Runs.size() + Queue.size() < Limit.limit();
   if (!Room || Body.request().method() == 0 ||
       Body.request().method() > static_cast<uint32_t>(Code::Delete)) {
-    const Answer No = refusal(Verdict::NotRun, ViewAge);
+    const Answer No = refusal(Verdict::NotRun, RefusalPause);
     Executed.settle(From.Issuer, Body.id(), No, Now);
     replyToSpill(From, No, Out);
     return;
@@ -253,8 +261,8 @@
   }
   // The tombstone comes before the word: the spill may still be under way.
   if (Known == SpillState::New)
-    Executed.settle(From.Issuer, Body.id(), refusal(Verdict::NotRun, ViewAge),
-                    Now);
+    Executed.settle(From.Issuer, Body.id(),
+                    refusal(Verdict::NotRun, RefusalPause), Now);
   replyToSpill(From, Executed.answer(From.Issuer, Body.id()), Out);
 }
 
--- a/src/requests/state.h
+++ b/src/requests/state.h
@@ -30,11 +30,6 @@
   uint32_t Queries = 0; ///< Without a word since.
 };
 
-struct SentSpill {
-  AgentRef To;
-  TimePoint At;
-};
-
 struct Requests::State {
   State(AgentIdentity Self, uint64_t Seed);
 
@@ -63,8 +58,6 @@
   std::unordered_map<FlowKey, uint32_t, FlowKeyHash> Busy;
   /// Invariant: exactly the jobs in phase Spilled, by spill id.
   std::map<uint64_t, PendingSpill> Spills;
-  /// Of the last second, for the peers' spare.
-  std::vector<SentSpill> SpillsSent;
   /// When the last event came; for questions that carry no time.
   TimePoint LastEvent;
   uint64_t NextJob = 1;
@@ -118,9 +111,10 @@
 
   // spilling.cpp
   std::shared_ptr<wire::ControlMessage> controlMessage() const;
-  uint32_t spareOf(const PeerView &Peer, TimePoint Now) const;
-  const PeerView *pickPeer(TimePoint Now);
+  uint32_t spareOf(const PeerView &Peer) const;
+  const PeerView *pickPeer();
   bool trySpill(Job &Value, TimePoint Now, AgentActions &Out);
+  bool retryElsewhere(Job &Value, TimePoint Now, AgentActions &Out);
   void onPeer(const wire::ControlMessage &Value, TimePoint Now,
               AgentActions &Out);
   void onSpill(const wire::ControlMessage &Value, TimePoint Now,
