--- a/src/flows/home.cpp
+++ b/src/flows/home.cpp
@@ -33,12 +33,14 @@
     Others.noteRefused(Except, Now);
     Known.erase(Caller);
   }
+  // A holder that is gone may have handed the flow over before it went, which
+  // only a settled home is sure to know.
   const Promise *Given = Promises.find(Caller);
   const Peer *Asker =
       Given && Given->Until > Now ? Others.find(Given->To) : nullptr;
   if (Asker && !Asker->Suspected && !Asker->Self)
     pass(std::move(Packet), *Asker, false, Out);
-  else if (Settled || Trusted)
+  else if (Settled || Except != AgentId::None)
     place(std::move(Packet), Except, Now, Out);
   else
     locate(std::move(Packet), Now, Out);
