--- a/src/wire/coap_test.cpp
+++ b/src/wire/coap_test.cpp
@@ -1,6 +1,7 @@
 // Messages survive the wire, and foreign bytes never do harm.
 #include "coap.h"
 
+#include <array>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -52,6 +53,22 @@
   EXPECT_EQ(Decoded->MessageId, 0x5a85);
 }
 
+/// Datagrams that come close to something valid; each must be refused or
+/// decode to what encodes again.
+constexpr std::array<std::string_view, 6> Corpus = {
+    std::string_view("\x40\x01\x00\x01\xff", 5),       // marker, no payload
+    std::string_view("\x49\x01\x00\x01tokentoke", 13), // token too long
+    std::string_view("\x40\x01\x00\x01\xf0", 5),       // reserved delta
+    std::string_view("\x40\x01\x00\x01\xbd\xff", 6),   // option cut off
+    std::string_view("\x40\x00\x00\x01\xb1x", 6),      // empty with option
+    std::string_view("\xc0\x01\x00\x01", 4),           // another version
+};
+
+TEST(Coap, RefusesTheCorpus) {
+  for (const std::string_view Each : Corpus)
+    EXPECT_FALSE(decodeCoap(Each).has_value()) << Each.size();
+}
+
 RC_GTEST_PROP(Coap, AnyBytesDecodeToWhatEncodesAgain,
               (std::string Bytes, uint8_t First, uint8_t Kind)) {
   // Half of the inputs look like CoAP at the start, to get past the header.
