Keep rare events apart from frequent ones in the ring

Cause: after two minutes of load the time line of an agent no longer told when it had started or which zone had gone out, since events of requests had pushed those out.

--- a/src/observe/timeline.cpp
+++ b/src/observe/timeline.cpp
@@ -68,28 +68,62 @@
     Old.Detail = New.Detail;
 }
 
+/// The newest events of a bounded number.
+class Ring {
+public:
+  explicit Ring(size_t Capacity) : Capacity_(std::max<size_t>(Capacity, 1)) {
+    Events_.reserve(Capacity_);
+  }
+
+  void push(HybridTime At, const Event &What) {
+    if (Events_.size() < Capacity_) {
+      Events_.push_back({At, What});
+      return;
+    }
+    StampedEvent &Slot = Events_[Next_];
+    Slot.At = At;
+    overwrite(Slot.What, What);
+    if (++Next_ == Capacity_)
+      Next_ = 0;
+  }
+
+  void copySince(HybridTime Since, std::vector<StampedEvent> &Into) const {
+    for (size_t I = 0; I < Events_.size(); ++I) {
+      const StampedEvent &E = Events_[(Next_ + I) % Events_.size()];
+      if (E.At >= Since)
+        Into.push_back(E);
+    }
+  }
+
+private:
+  size_t Capacity_;
+  /// Invariant: stamps rise from Events_[Next_] on, round the end.
+  std::vector<StampedEvent> Events_;
+  size_t Next_ = 0;
+};
+
+/// Of the events kept, this part is for rare kinds, which the frequent ones
+/// would else push out within seconds.
+constexpr size_t RareShare = 4;
+
 } // namespace
 
 struct Timeline::State {
+  State(std::string Process, size_t Capacity)
+      : Process(std::move(Process)), Rare(Capacity / RareShare),
+        Frequent(Capacity - Capacity / RareShare) {}
+
   std::string Process;
-  size_t Capacity;
   HybridClock Clock;
-  mutable std::mutex Mutex;
-  /// Guarded by Mutex, as is Next. Invariant: stamps rise from Ring[Next] on,
-  /// round the end, once the ring is full; before that from Ring[0] on.
-  std::vector<StampedEvent> Ring;
-  size_t Next = 0;
   std::array<Counter, EventKindNames.size()> Counts;
-
-  std::vector<StampedEvent> since(HybridTime Since) const;
+  mutable std::mutex Mutex;
+  // Guarded by Mutex.
+  Ring Rare;
+  Ring Frequent;
 };
 
 Timeline::Timeline(std::string Process, size_t Capacity)
-    : State_(std::make_unique<State>()) {
-  State_->Process = std::move(Process);
-  State_->Capacity = std::max<size_t>(Capacity, 1);
-  State_->Ring.reserve(State_->Capacity);
-}
+    : State_(std::make_unique<State>(std::move(Process), Capacity)) {}
 
 Timeline::~Timeline() = default;
 
@@ -98,35 +132,26 @@
 void Timeline::record(std::chrono::system_clock::time_point Wall,
                       const Event &What) {
   const HybridTime At = State_->Clock.stamp(Wall);
+  const LogLevel Level = levelOf(What.Kind);
   State_->Counts[static_cast<size_t>(What.Kind)].add();
-  if (levelOf(What.Kind) >= logLevel())
+  if (Level >= logLevel())
     fmt::print(stderr, "{}", eventJson(State_->Process, {At, What}));
   const std::lock_guard Lock(State_->Mutex);
-  if (State_->Ring.size() < State_->Capacity) {
-    State_->Ring.push_back({At, What});
-    return;
-  }
-  StampedEvent &Slot = State_->Ring[State_->Next];
-  Slot.At = At;
-  overwrite(Slot.What, What);
-  if (++State_->Next == State_->Capacity)
-    State_->Next = 0;
+  (Level == LogLevel::Debug ? State_->Frequent : State_->Rare).push(At, What);
 }
 
-std::vector<StampedEvent> Timeline::State::since(HybridTime Since) const {
+std::string Timeline::snapshotJson(HybridTime Since) const {
   std::vector<StampedEvent> Found;
-  const std::lock_guard Lock(Mutex);
-  for (size_t I = 0; I < Ring.size(); ++I) {
-    const StampedEvent &E = Ring[(Next + I) % Ring.size()];
-    if (E.At >= Since)
-      Found.push_back(E);
+  {
+    const std::lock_guard Lock(State_->Mutex);
+    State_->Rare.copySince(Since, Found);
+    State_->Frequent.copySince(Since, Found);
   }
-  return Found;
-}
-
-std::string Timeline::snapshotJson(HybridTime Since) const {
+  std::sort(
+      Found.begin(), Found.end(),
+      [](const StampedEvent &A, const StampedEvent &B) { return A.At < B.At; });
   std::string Lines;
-  for (const StampedEvent &E : State_->since(Since))
+  for (const StampedEvent &E : Found)
     Lines += eventJson(State_->Process, E);
   return Lines;
 }
--- a/src/observe/timeline.h
+++ b/src/observe/timeline.h
@@ -37,6 +37,7 @@
 /// Not thread-safe but for snapshotJson(): the loop thread records.
 class Timeline {
 public:
+  /// Capacity in events; a quarter is kept for kinds that are rare.
   Timeline(std::string Process, size_t Capacity);
   ~Timeline();
   void record(std::chrono::system_clock::time_point Wall, const Event &What);
