Let a restarted home wait for its peers' late answers

The time line of one showed its holder give it up: the restarted agent was the flow's home, asked all, and placed it anew after 300 ms, while its peers' connections to it still backed off for up to 1 s. Ruled out: the hand-over (the flow's holder was another agent). Change: the wait is 2 s, below the caller's first retransmission, with a question each 200 ms; reconnecting backs off to 300 ms.

--- a/src/agent/agentcore_test.cpp
+++ b/src/agent/agentcore_test.cpp
@@ -66,6 +66,23 @@
   expectAllRan(W, "rolling restart");
 }
 
+// A home that is new in its range must not take a peer's late answer for "no".
+TEST(AgentCore, RestartedHomeWaitsForLateAnswers) {
+  WorldOptions Options = options(9);
+  Options.Flows = 400; // So many that balancers often miss their caches.
+  World W(Options);
+  W.run(Settle);
+  W.load(5s, 10ms, 50);
+  W.stop(0);
+  W.load(5s, 10ms, 50);
+  W.restart(0);
+  W.delayControl(0, 800ms);
+  W.load(8s, 10ms, 50);
+  W.run(Finish);
+  W.verify();
+  expectAllRan(W, "restarted home");
+}
+
 TEST(AgentCore, BalancersMayDie) {
   World W(options(4));
   W.run(Settle);
--- a/src/agent/testworld.h
+++ b/src/agent/testworld.h
@@ -62,6 +62,9 @@
   void restart(size_t Agent);
   void pause(size_t Agent, bool On);
   void stop(size_t Agent);
+  /// Control messages to the agent come this much later from now on, as while
+  /// its peers still connect to it.
+  void delayControl(size_t Agent, Duration By);
   bool stopped(size_t Agent) const;
   /// The fabric goes on handing packets to it until it notices.
   void killBalancer(size_t Balancer);
@@ -108,6 +111,8 @@
   void writeRoster(size_t Index, const UpdateRoster &Update);
   void publishRoster();
   void publishSettings();
+  void controlTo(Endpoint To,
+                 const std::shared_ptr<const wire::ControlMessage> &Value);
   void packetTo(Endpoint To, Endpoint From, const PacketHeader &Header,
                 const std::string &Payload);
   void absorb(unsigned FlowIndex, CallerOutput &Out);
--- a/src/agent/world_test.cpp
+++ b/src/agent/world_test.cpp
@@ -46,6 +46,7 @@
   bool Alive = false;
   bool Paused = false;
   bool Complete = false;
+  Duration ControlDelay{};
   std::deque<AgentEvent> Held; ///< Came while it was paused.
   std::map<RunId, RunUpstream> Running;
   unsigned Busy = 0; ///< Runs at the upstream, also of earlier lives.
@@ -168,6 +169,10 @@
 
 void World::stop(size_t Agent) { toAgent(Agent, StopRequested{}); }
 
+void World::delayControl(size_t Agent, Duration By) {
+  Agents_[Agent]->ControlDelay = By;
+}
+
 bool World::stopped(size_t Agent) const { return Agents_[Agent]->Complete; }
 
 void World::killBalancer(size_t Balancer) {
@@ -279,12 +284,7 @@
   else if (const auto *Out = std::get_if<SendMessage>(&Action))
     packetTo(Out->To, From, Out->Header, wire::encodeCoap(Out->Value));
   else if (const auto *Peer = std::get_if<SendPeer>(&Action))
-    for (size_t I = 0; I < Agents_.size(); ++I) {
-      if (Agents_[I]->Identity.Self.Control != Peer->To)
-        continue;
-      const auto Value = Peer->Value;
-      wire([this, I, Value] { toAgent(I, PeerMessage{Value}); });
-    }
+    controlTo(Peer->To, Peer->Value);
   else if (const auto *Run = std::get_if<RunUpstream>(&Action))
     runUpstream(Index, *Run);
   else if (const auto *Cancel = std::get_if<CancelUpstream>(&Action)) {
@@ -306,6 +306,18 @@
     Agents_[Index]->Complete = true;
 }
 
+void World::controlTo(
+    Endpoint To, const std::shared_ptr<const wire::ControlMessage> &Value) {
+  for (size_t I = 0; I < Agents_.size(); ++I) {
+    if (Agents_[I]->Identity.Self.Control != To)
+      continue;
+    wire([this, I, Value] {
+      at(Agents_[I]->ControlDelay,
+         [this, I, Value] { toAgent(I, PeerMessage{Value}); });
+    });
+  }
+}
+
 void World::packetTo(Endpoint To, Endpoint From, const PacketHeader &Header,
                      const std::string &Payload) {
   for (size_t I = 0; I < Balancers_.size(); ++I)
--- a/src/flows/locate.cpp
+++ b/src/flows/locate.cpp
@@ -41,6 +41,7 @@
   }
   Located Waiting;
   Waiting.Since = Now;
+  Waiting.AskedAt = Now;
   for (const Peer *P : Asked)
     Waiting.Waiting.push_back(P->Entry.Agent.Id);
   if (!park(Packet, Waiting.Packets)) {
@@ -209,8 +210,8 @@
   Locating.forEach([&](Endpoint Caller, Located &Waiting) {
     if (Now - Waiting.Since >= LocateWait)
       Overdue.push_back(Caller);
-    else if (Now - Waiting.Since >= LocateAskAgain && !Waiting.AskedAgain) {
-      Waiting.AskedAgain = true;
+    else if (Now - Waiting.AskedAt >= LocateAskAgain) {
+      Waiting.AskedAt = Now;
       ToAsk.push_back(Caller);
     }
   });
--- a/src/flows/state.h
+++ b/src/flows/state.h
@@ -23,8 +23,8 @@
 constexpr Duration TombstoneLifetime = 5s;
 
 /// The wait for answers about a flow, and when the silent are asked again.
-constexpr Duration LocateWait = 300ms;
-constexpr Duration LocateAskAgain = 150ms;
+constexpr Duration LocateWait = 2s;
+constexpr Duration LocateAskAgain = 200ms;
 /// Questions that come closer together than this travel in one message.
 constexpr Duration LocateSpacing = 5ms;
 /// A flow that a peer asked about is left to it for this long.
@@ -81,7 +81,7 @@
 /// A flow that this home doesn't know, while the others are asked.
 struct Located {
   TimePoint Since;
-  bool AskedAgain = false;
+  TimePoint AskedAt;
   /// Agents whose answer is still out.
   std::vector<AgentId> Waiting;
   /// From a peer's directory; a holder's own word goes before it.
--- a/src/shell/controlbus.cpp
+++ b/src/shell/controlbus.cpp
@@ -28,7 +28,8 @@
 constexpr milliseconds HeartbeatTimeout = 4s;
 constexpr milliseconds ConnectTimeout = 2s;
 constexpr milliseconds ReconnectInterval = 100ms;
-constexpr milliseconds ReconnectIntervalMax = 1s;
+// A restarted agent waits for its peers' answers before it places flows.
+constexpr milliseconds ReconnectIntervalMax = 300ms;
 
 int count(milliseconds Value) { return static_cast<int>(Value.count()); }
 
