--- a/src/wire/coap.cpp
+++ b/src/wire/coap.cpp
@@ -216,11 +216,26 @@
     addNumber(Number, (Value.Number << 4) | (Value.More ? 8U : 0U) | Exponent);
   }
 
-  /// One option for each part of the text between separators.
-  void addParts(uint16_t Number, std::string_view Text, char Separator) {
+  /// One option for each segment between slashes, empty ones too.
+  void addPath(std::string_view Text) {
     while (!Text.empty()) {
-      const size_t End = std::min(Text.find(Separator), Text.size());
-      add(Number, unescape(Text.substr(0, End)));
+      const size_t End = Text.find('/');
+      add(COAP_OPTION_URI_PATH, unescape(Text.substr(0, End)));
+      if (End == std::string_view::npos)
+        return;
+      Text.remove_prefix(End + 1);
+      // A slash at the end stands before one more, empty segment.
+      if (Text.empty())
+        add(COAP_OPTION_URI_PATH, {});
+    }
+  }
+
+  /// One option for each parameter; libcoap refuses empty ones.
+  void addQuery(std::string_view Text) {
+    while (!Text.empty()) {
+      const size_t End = std::min(Text.find('&'), Text.size());
+      if (End > 0)
+        add(COAP_OPTION_URI_QUERY, unescape(Text.substr(0, End)));
       Text.remove_prefix(std::min(End + 1, Text.size()));
     }
   }
@@ -261,13 +276,13 @@
   std::string_view Path = Value.Path;
   if (Path.starts_with('/'))
     Path.remove_prefix(1);
-  Options.addParts(COAP_OPTION_URI_PATH, Path, '/');
+  Options.addPath(Path);
   if (Value.ContentFormat)
     Options.addNumber(COAP_OPTION_CONTENT_FORMAT, *Value.ContentFormat);
   if (Value.MaxAge)
     Options.addNumber(COAP_OPTION_MAXAGE,
                       countOf<std::chrono::seconds>(*Value.MaxAge));
-  Options.addParts(COAP_OPTION_URI_QUERY, Value.Query, '&');
+  Options.addQuery(Value.Query);
   if (Value.Block2)
     Options.addBlock(COAP_OPTION_BLOCK2, *Value.Block2);
   if (Value.Block1)
@@ -322,6 +337,9 @@
   Result.Token.assign(reinterpret_cast<const char *>(Token.s), Token.length);
   if (auto Read = readOptions(Result, Pdu.get()); !Read)
     return tl::unexpected(Read.error());
+  // A single empty segment is the same as none (RFC 7252, section 6.4).
+  if (Result.Path == "/")
+    Result.Path.clear();
   size_t Size = 0;
   const uint8_t *Data = nullptr;
   if (coap_get_data(Pdu.get(), &Size, &Data) != 0)
--- a/src/wire/coap_test.cpp
+++ b/src/wire/coap_test.cpp
@@ -53,6 +53,18 @@
   EXPECT_EQ(Decoded->MessageId, 0x5a85);
 }
 
+TEST(Coap, EmptySegmentsKeepTheirPlace) {
+  Message Request;
+  Request.Kind = Code::Get;
+  for (const char *Path : {"", "/a/", "//", "/a//b"}) {
+    Request.Path = Path;
+    Request.Query = "k=1&l";
+    EXPECT_EQ(decodeCoap(encodeCoap(Request)), Request) << Path;
+  }
+  Request.Path = "/";
+  EXPECT_EQ(decodeCoap(encodeCoap(Request))->Path, "");
+}
+
 /// Datagrams that come close to something valid; each must be refused or
 /// decode to what encodes again.
 constexpr std::array<std::string_view, 6> Corpus = {
