--- a/src/shell/controlbus.cpp
+++ b/src/shell/controlbus.cpp
@@ -28,7 +28,8 @@
 constexpr milliseconds HeartbeatTimeout = 4s;
 constexpr milliseconds ConnectTimeout = 2s;
 constexpr milliseconds ReconnectInterval = 100ms;
-constexpr milliseconds ReconnectIntervalMax = 1s;
+// A restarted agent waits for its peers' answers before it places flows.
+constexpr milliseconds ReconnectIntervalMax = 300ms;
 
 int count(milliseconds Value) { return static_cast<int>(Value.count()); }
 
@@ -168,6 +169,11 @@
 
 void ControlBus::replace(Endpoint Peer) { State_->Peers.erase(Peer); }
 
+void ControlBus::closeUnless(const std::function<bool(Endpoint Peer)> &Wanted) {
+  for (auto It = State_->Peers.begin(); It != State_->Peers.end();)
+    It = Wanted(It->first) ? std::next(It) : State_->Peers.erase(It);
+}
+
 void ControlBus::tick(TimePoint Now) {
   for (auto It = State_->Peers.begin(); It != State_->Peers.end();) {
     PeerSocket &Each = It->second;
