--- a/bench/capacitybench.cpp
+++ b/bench/capacitybench.cpp
@@ -22,9 +22,28 @@
 constexpr uint32_t Flows = 20'000;
 constexpr uint32_t Changes = 200;
 
-void report(std::string_view Name, double Value) {
-  fmt::print("{} {:.1f}\n", Name, Value);
-}
+struct Slope {
+  std::string Name;
+  double Value = 0;
+};
+
+/// What was measured so far, in the order of measuring.
+class Slopes {
+public:
+  void add(std::string Name, double Value) {
+    fmt::print("{} {:.1f}\n", Name, Value);
+    All_.push_back({std::move(Name), Value});
+  }
+  double operator[](std::string_view Name) const {
+    for (const Slope &S : All_)
+      if (S.Name == Name)
+        return S.Value;
+    return 0;
+  }
+
+private:
+  std::vector<Slope> All_;
+};
 
 size_t heapBytes() {
   const struct mallinfo2 Info = mallinfo2();
@@ -71,7 +90,7 @@
 
 // Every process keeps the settings; a change costs the one that it concerns,
 // and the check that no two services claim an address.
-SettingsPtr measureSettings() {
+SettingsPtr measureSettings(Slopes &Into) {
   SettingsView View;
   const size_t Before = heapBytes();
   std::vector<StoredObject> All;
@@ -81,77 +100,77 @@
   View.merge(All);
   All.clear();
   All.shrink_to_fit();
-  report("settings_bytes_per_service",
-         static_cast<double>(heapBytes() - Before) / Services);
+  Into.add("settings_bytes_per_service",
+           static_cast<double>(heapBytes() - Before) / Services);
   const uint64_t Base = View.version();
   const double Start = cpuMicroseconds();
   for (uint32_t I = 0; I < Changes; ++I)
     View.merge({serviceObject(I, Base + I + 1)});
-  report("settings_us_per_change", (cpuMicroseconds() - Start) / Changes);
+  Into.add("settings_us_per_change", (cpuMicroseconds() - Start) / Changes);
   wire::SettingsPull Pull;
   Pull.set_known_version(View.version() - 1);
   const auto Push = View.answer(Pull);
-  report("settings_push_bytes",
-         Push ? static_cast<double>(Push->ByteSizeLong()) : 0);
-  report("settings_digest_bytes",
-         static_cast<double>(View.digest().ByteSizeLong()));
+  Into.add("settings_push_bytes",
+           Push ? static_cast<double>(Push->ByteSizeLong()) : 0);
+  Into.add("settings_digest_bytes",
+           static_cast<double>(View.digest().ByteSizeLong()));
   return View.current();
 }
 
-void measureBalancer(const SettingsPtr &Value) {
+void measureBalancer(const SettingsPtr &Value, Slopes &Into) {
   BalancerIdentity Identity;
   Identity.Zone = "zone-0";
   Identity.Data = {0x0a000001, 7000};
   BalancerCore Core(Identity);
-  report("balancer_bytes_per_flow",
-         static_cast<double>(Core.cacheBytes()) /
-             static_cast<double>(Identity.FlowCapacity));
-  report("balancer_cache_bytes", static_cast<double>(Core.cacheBytes()));
+  Into.add("balancer_bytes_per_flow",
+           static_cast<double>(Core.cacheBytes()) /
+               static_cast<double>(Identity.FlowCapacity));
+  Into.add("balancer_cache_bytes", static_cast<double>(Core.cacheBytes()));
   TimePoint Now{};
   BalancerActions Actions;
   double Start = cpuMicroseconds();
   Core.handle(SettingsUpdate{Value}, Now, Actions);
-  report("balancer_us_per_settings", cpuMicroseconds() - Start);
+  Into.add("balancer_us_per_settings", cpuMicroseconds() - Start);
   const size_t Before = heapBytes();
   Start = cpuMicroseconds();
   for (uint32_t I = 0; I < Services; ++I) {
     Actions.clear();
     Core.handle(RosterUpdate{rosterOf(I)}, Now, Actions);
   }
-  report("balancer_us_per_roster", (cpuMicroseconds() - Start) / Services);
-  report("balancer_bytes_per_roster",
-         static_cast<double>(heapBytes() - Before) / Services);
+  Into.add("balancer_us_per_roster", (cpuMicroseconds() - Start) / Services);
+  Into.add("balancer_bytes_per_roster",
+           static_cast<double>(heapBytes() - Before) / Services);
   Start = cpuMicroseconds();
   for (uint32_t I = 0; I < Changes; ++I) {
     Now += 100ms;
     Actions.clear();
     Core.handle(Tick{}, Now, Actions);
   }
-  report("balancer_us_per_tick", (cpuMicroseconds() - Start) / Changes);
+  Into.add("balancer_us_per_tick", (cpuMicroseconds() - Start) / Changes);
 }
 
 // One agent that is home and holder of every flow, with a finished request on
 // each: what a flow costs at its holder and at its home together.
-void measureFlows() {
+void measureFlows(Slopes &Into) {
   IdleCluster Cluster(1);
   Cluster.settle();
   const size_t Before = heapBytes();
   const double Start = cpuMicroseconds();
   for (uint32_t I = 0; I < Flows; ++I)
     Cluster.get({0x0b000000 + I, 5683});
-  report("agent_us_per_new_flow", (cpuMicroseconds() - Start) / Flows);
-  report("agent_bytes_per_new_flow",
-         static_cast<double>(heapBytes() - Before) / Flows);
+  Into.add("agent_us_per_new_flow", (cpuMicroseconds() - Start) / Flows);
+  Into.add("agent_bytes_per_new_flow",
+           static_cast<double>(heapBytes() - Before) / Flows);
   Cluster.run(10min);
   malloc_trim(0);
-  report("agent_bytes_per_flow",
-         static_cast<double>(heapBytes() - Before) /
-             static_cast<double>(std::max<size_t>(1, Cluster.flows())));
-  report("agent_flows_measured", static_cast<double>(Cluster.flows()));
+  Into.add("agent_bytes_per_flow",
+           static_cast<double>(heapBytes() - Before) /
+               static_cast<double>(std::max<size_t>(1, Cluster.flows())));
+  Into.add("agent_flows_measured", static_cast<double>(Cluster.flows()));
 }
 
 // Idle agents of one service talk to one another only.
-void measureHeartbeats() {
+void measureHeartbeats(Slopes &Into) {
   constexpr std::array<uint32_t, 4> Sizes = {3, 10, 30, 100};
   constexpr uint32_t Seconds = 30;
   for (const uint32_t Size : Sizes) {
@@ -161,34 +180,101 @@
     const double Start = cpuMicroseconds();
     Cluster.run(std::chrono::seconds(Seconds));
     const double Node = Size * Seconds;
-    report(fmt::format("agent_us_per_second_{}", Size),
-           (cpuMicroseconds() - Start) / Node);
-    report(fmt::format("agent_bytes_per_second_{}", Size),
-           static_cast<double>(Cluster.controlBytes() - BytesBefore) / Node);
+    Into.add(fmt::format("agent_us_per_second_{}", Size),
+             (cpuMicroseconds() - Start) / Node);
+    Into.add(fmt::format("agent_bytes_per_second_{}", Size),
+             static_cast<double>(Cluster.controlBytes() - BytesBefore) / Node);
     const uint64_t WritesBefore = Cluster.rosterWrites();
     const uint64_t JoinBytes = Cluster.controlBytes();
     Cluster.restart(0);
     Cluster.run(std::chrono::seconds(Seconds));
-    report(fmt::format("agent_writes_per_restart_{}", Size),
-           static_cast<double>(Cluster.rosterWrites() - WritesBefore));
-    report(fmt::format("agent_bytes_per_second_change_{}", Size),
-           static_cast<double>(Cluster.controlBytes() - JoinBytes) / Node);
+    Into.add(fmt::format("agent_writes_per_restart_{}", Size),
+             static_cast<double>(Cluster.rosterWrites() - WritesBefore));
+    Into.add(fmt::format("agent_bytes_per_second_change_{}", Size),
+             static_cast<double>(Cluster.controlBytes() - JoinBytes) / Node);
   }
 }
 
-void measureRoster() {
+void measureRoster(Slopes &Into) {
   const Roster Value = rosterOf(7);
-  report("roster_json_bytes", static_cast<double>(rosterToJson(Value).size()));
+  Into.add("roster_json_bytes",
+           static_cast<double>(rosterToJson(Value).size()));
+}
+
+// The users' size in two years.
+constexpr double TargetNodes = 11'000;
+constexpr double TargetUpstreams = 130'000;
+constexpr double TargetFlows = 78e6;
+constexpr double TargetNewFlows = 490'000; // a second
+constexpr double ZoneCount = 9;
+constexpr double SecondsPerDay = 86'400;
+constexpr double ChangesPerSecond = 60'000 / SecondsPerDay;
+constexpr double RestartsPerSecond = 30'000 / SecondsPerDay;
+/// Leaving, gone and joined again.
+constexpr double RosterWritesPerRestart = 3;
+constexpr double TicksPerSecond = 20;
+constexpr double Megabyte = 1e6;
+/// Of a core: microseconds a second to percent.
+constexpr double MicrosecondsPerPercent = 1e4;
+constexpr double RosterBytesPerAgent = 66;
+
+void deriveBalancer(Slopes &Into) {
+  const double RosterChanges = RestartsPerSecond * RosterWritesPerRestart;
+  Into.add("balancer_memory_mb",
+           (Into["balancer_cache_bytes"] +
+            Services * (Into["settings_bytes_per_service"] +
+                        Into["balancer_bytes_per_roster"])) /
+               Megabyte);
+  Into.add("balancer_cpu_percent",
+           (ChangesPerSecond * (Into["settings_us_per_change"] +
+                                Into["balancer_us_per_settings"]) +
+            RosterChanges * Into["balancer_us_per_roster"] +
+            TicksPerSecond * Into["balancer_us_per_tick"]) /
+               MicrosecondsPerPercent);
+  Into.add("balancer_control_bytes",
+           ChangesPerSecond * Into["settings_push_bytes"] +
+               Into["settings_digest_bytes"] +
+               RosterChanges * AgentsPerService * RosterBytesPerAgent);
+}
+
+void deriveAgent(Slopes &Into) {
+  const double FlowsHeld = TargetFlows / TargetUpstreams;
+  const double NewFlows = TargetNewFlows / TargetUpstreams;
+  Into.add("agent_flows", FlowsHeld);
+  Into.add("agent_memory_mb", (FlowsHeld * Into["agent_bytes_per_new_flow"] +
+                               Services * Into["settings_bytes_per_service"]) /
+                                  Megabyte);
+  Into.add("agent_cpu_percent",
+           (ChangesPerSecond * Into["settings_us_per_change"] +
+            Into["agent_us_per_second_10"] +
+            NewFlows * Into["agent_us_per_new_flow"]) /
+               MicrosecondsPerPercent);
+  Into.add("agent_control_bytes",
+           Into["agent_bytes_per_second_10"] +
+               ChangesPerSecond * Into["settings_push_bytes"] +
+               Into["settings_digest_bytes"]);
+}
+
+void derivePlatform(Slopes &Into) {
+  Into.add("platform_writes_per_second",
+           ChangesPerSecond + RestartsPerSecond * RosterWritesPerRestart);
+  Into.add("platform_calls_all_watch", (TargetNodes + TargetUpstreams) * 0.4);
+  Into.add("zone_upstreams", TargetUpstreams / ZoneCount);
+  Into.add("start_pull_mb", Services * Into["settings_push_bytes"] / Megabyte);
 }
 
 } // namespace
 
 bool measureCapacity() {
-  const SettingsPtr Value = measureSettings();
-  measureBalancer(Value);
-  measureRoster();
-  measureFlows();
-  measureHeartbeats();
+  Slopes Into;
+  const SettingsPtr Value = measureSettings(Into);
+  measureBalancer(Value, Into);
+  measureRoster(Into);
+  measureFlows(Into);
+  measureHeartbeats(Into);
+  deriveBalancer(Into);
+  deriveAgent(Into);
+  derivePlatform(Into);
   return true;
 }
 
--- a/src/agent/agentdaemon.cpp
+++ b/src/agent/agentdaemon.cpp
@@ -1,6 +1,7 @@
 // Feeds events into the agent's core and carries its actions out.
 #include "agentdaemon.h"
 
+#include "observe/statusmetrics.h"
 #include "wire/coap.h"
 #include "wire/framing.h"
 
@@ -302,6 +303,8 @@
   return Status.dump();
 }
 
-std::string AgentDaemon::metricsText() const { return {}; }
+std::string AgentDaemon::metricsText() const {
+  return Timeline_.metricsText() + statusMetrics(statusJson());
+}
 
 } // namespace dragonflystall
--- a/standins/upstream.cpp
+++ b/standins/upstream.cpp
@@ -154,7 +154,9 @@
   Report["peak"] = Now.Peak;
   Report["cold_overloads"] = Now.ColdOverloads;
   Report["hot_overloads"] = Now.HotOverloads;
-  Out.set_content(Report.dump(), "application/json");
+  Out.set_content(
+      Report.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace),
+      "application/json");
 }
 
 void Upstream::addRoutes() {
