Share what both daemons do towards their peers

Cause: sending, receiving, gossip and the check of addresses stood twice, in the agent's and in the balancer's daemon. No functional change.

--- a/src/agent/agentdaemon.cpp
+++ b/src/agent/agentdaemon.cpp
@@ -43,21 +43,32 @@
 AgentDaemon::AgentDaemon(const HostSettings &Host)
     : Host_(Host), Identity_(identityOf(Host)),
       Timeline_(Host.Name, TimelineCapacity), Core_(Identity_, randomBits()),
-      Exchange_(View_, Identity_.Self.Agent, Host.Control, randomBits()),
-      Filter_(Host.Peers, Host.Zone) {}
+      Peers_(Host, Identity_.Self.Agent, randomBits(), Timeline_,
+             peerListener()) {}
 
 AgentDaemon::~AgentDaemon() = default;
 
+Peering::Listener AgentDaemon::peerListener() {
+  Peering::Listener Listener;
+  Listener.OnSettings = [this](const SettingsPtr &Value) {
+    handle(SettingsUpdate{Value});
+  };
+  Listener.OnEvent = [this](const Event &What) { carryOut(What); };
+  Listener.OnMessage =
+      [this](const std::shared_ptr<const wire::ControlMessage> &Value) {
+        handle(PeerMessage{Value});
+      };
+  return Listener;
+}
+
 tl::expected<void, std::string> AgentDaemon::start() {
   Loop_.onStopSignal([this] { handle(StopRequested{}); });
   auto Data = UdpSocket::bind(Host_.Data);
   if (!Data)
     return tl::unexpected("data port: " + Data.error());
   Data_ = std::move(*Data);
-  auto Bus = ControlBus::bind(Host_.Control);
-  if (!Bus)
-    return tl::unexpected("control port: " + Bus.error());
-  Bus_ = std::move(*Bus);
+  if (auto Started = Peers_.start(Host_.Control); !Started)
+    return Started;
   AdminHandlers Handlers;
   Handlers.Ready = [this] {
     const std::lock_guard Lock(PublishedMutex_);
@@ -101,7 +112,7 @@
     Loop_.post(std::move(Task));
   };
   Listener.OnSettings = [this](const std::vector<StoredObject> &Objects) {
-    onSettings(Objects);
+    Peers_.merge(Objects);
   };
   Listener.OnRoster = [this](Roster Value) {
     handle(RosterUpdate{std::move(Value)});
@@ -121,13 +132,7 @@
       onDatagram(From, Bytes);
     });
   });
-  Loop_.watch(Bus_->descriptor(), [this] {
-    Bus_->receive(
-        [this](uint32_t FromIp,
-               const std::shared_ptr<const wire::ControlMessage> &Value) {
-          onControl(FromIp, Value);
-        });
-  });
+  Peers_.watch(Loop_);
   Loop_.every(TickPeriod, [this] { handle(Tick{}); });
   Loop_.every(GossipPeriod, [this] { gossip(); });
   Loop_.every(StatusPeriod, [this] { publishStatus(); });
@@ -147,30 +152,21 @@
 }
 
 void AgentDaemon::carryOut(const SendDatagram &Action) {
-  if (!Filter_.allows(Action.To.Ip))
+  if (!Peers_.allows(Action.To.Ip))
     return;
   wire::encodeHeader(Action.Header, Header_);
   Data_->send(Action.To, Header_, Action.Payload);
 }
 
 void AgentDaemon::carryOut(const SendMessage &Action) {
-  if (!Filter_.allows(Action.To.Ip))
+  if (!Peers_.allows(Action.To.Ip))
     return;
   wire::encodeHeader(Action.Header, Header_);
   Data_->send(Action.To, Header_, wire::encodeCoap(Action.Value));
 }
 
 void AgentDaemon::carryOut(const SendPeer &Action) {
-  sendPeer(Action.To, *Action.Value);
-}
-
-void AgentDaemon::sendPeer(Endpoint To, const wire::ControlMessage &Value) {
-  if (!Filter_.allows(To.Ip))
-    return;
-  wire::ControlMessage Stamped = Value;
-  Stamped.set_hlc(Timeline_.clock().stamp(Clock_.wallTime()));
-  Stamped.set_settings_version(View_.version());
-  Bus_->send(To, Stamped);
+  Peers_.send(Action.To, *Action.Value);
 }
 
 void AgentDaemon::carryOut(const RunUpstream &Action) {
@@ -198,7 +194,7 @@
 }
 
 void AgentDaemon::onDatagram(Endpoint From, std::string_view Bytes) {
-  if (!Filter_.allows(From.Ip)) {
+  if (!Peers_.allows(From.Ip)) {
     ++Drops_.Stranger;
     return;
   }
@@ -223,45 +219,11 @@
                      std::move(*Decoded)});
 }
 
-void AgentDaemon::onControl(
-    uint32_t FromIp, const std::shared_ptr<const wire::ControlMessage> &Value) {
-  if (!Filter_.allows(FromIp)) {
-    ++Drops_.Stranger;
-    return;
-  }
-  Timeline_.clock().observe(Value->hlc());
-  std::vector<Event> Events;
-  const auto Send = [this](Endpoint To, const wire::ControlMessage &Answer) {
-    sendPeer(To, Answer);
-  };
-  if (Exchange_.onPeer(*Value, Send, Events))
-    settingsChanged(Events);
-  handle(PeerMessage{Value});
-}
-
-void AgentDaemon::onSettings(const std::vector<StoredObject> &Objects) {
-  const SettingsPtr Before = View_.current();
-  const std::vector<Event> Events = View_.merge(Objects);
-  if (View_.current() != Before)
-    settingsChanged(Events);
-}
-
-void AgentDaemon::settingsChanged(const std::vector<Event> &Events) {
-  for (const Event &What : Events)
-    carryOut(What);
-  Filter_.update(View_.current());
-  Bus_->closeUnless([this](Endpoint Peer) { return Filter_.allows(Peer.Ip); });
-  handle(SettingsUpdate{View_.current()});
-}
-
 void AgentDaemon::gossip() {
   std::vector<Endpoint> Peers = Host_.Peers;
   for (const PeerView &Peer : Core_.flows().peers())
     Peers.push_back(Peer.Control);
-  Exchange_.tick(Peers, [this](Endpoint To, const wire::ControlMessage &Value) {
-    sendPeer(To, Value);
-  });
-  Bus_->tick(Clock_.now());
+  Peers_.gossip(Peers, Clock_.now());
 }
 
 void AgentDaemon::publishStatus() {
@@ -283,8 +245,8 @@
       {"team", Host_.Team},
       {"service", Host_.Service},
       {"incarnation", static_cast<uint64_t>(Identity_.Self.Agent.Start)},
-      {"settings_version", View_.current()->Version},
-      {"settings_seen", View_.version()},
+      {"settings_version", Peers_.view().current()->Version},
+      {"settings_seen", Peers_.view().version()},
       {"roster_version", Core_.flows().roster().Version},
       {"flows", Core_.flows().size()},
       {"running", Load.Running},
@@ -294,12 +256,12 @@
       {"leaving", Core_.leaving()},
       {"platform_down", Link_->down()},
       {"platform_calls", Link_->calls()},
-      {"control_bytes_sent", Bus_->bytesSent()},
-      {"control_bytes_received", Bus_->bytesReceived()},
+      {"control_bytes_sent", Peers_.bus().bytesSent()},
+      {"control_bytes_received", Peers_.bus().bytesReceived()},
       {"dropped_malformed", Drops_.Malformed},
-      {"dropped_stranger", Drops_.Stranger},
+      {"dropped_stranger", Drops_.Stranger + Peers_.foreign()},
       {"dropped_by_kernel", Data_->dropped()},
-      {"refused_settings", View_.refused()}};
+      {"refused_settings", Peers_.view().refused()}};
   return Status.dump();
 }
 
--- a/src/agent/agentdaemon.h
+++ b/src/agent/agentdaemon.h
@@ -8,11 +8,9 @@
 #include "observe/timeline.h"
 #include "platform/link.h"
 #include "requests/upstreamclient.h"
-#include "settings/exchange.h"
 #include "settings/hostsettings.h"
-#include "settings/peerfilter.h"
-#include "shell/controlbus.h"
 #include "shell/loop.h"
+#include "shell/peering.h"
 #include "shell/udpsocket.h"
 
 #include <memory>
@@ -49,12 +47,8 @@
   void carryOut(const WantRoster &Action);
   void carryOut(const StopComplete &Action);
   void carryOut(const Event &Action);
-  void sendPeer(Endpoint To, const wire::ControlMessage &Value);
+  Peering::Listener peerListener();
   void onDatagram(Endpoint From, std::string_view Bytes);
-  void onControl(uint32_t FromIp,
-                 const std::shared_ptr<const wire::ControlMessage> &Value);
-  void onSettings(const std::vector<StoredObject> &Objects);
-  void settingsChanged(const std::vector<Event> &Events);
   void gossip();
   void startPlatform();
   void startUpstream();
@@ -68,13 +62,10 @@
   Loop Loop_;
   Timeline Timeline_;
   AgentCore Core_;
-  SettingsView View_;
-  SettingsExchange Exchange_;
-  PeerFilter Filter_;
+  Peering Peers_;
   AgentDrops Drops_;
   std::string Header_; ///< Scratch, so that sending allocates nothing.
   std::unique_ptr<UdpSocket> Data_;
-  std::unique_ptr<ControlBus> Bus_;
   std::unique_ptr<UpstreamClient> Upstream_;
   std::unique_ptr<PlatformLink> Link_;
   std::unique_ptr<AdminServer> Admin_;
--- a/src/steering/balancerdaemon.cpp
+++ b/src/steering/balancerdaemon.cpp
@@ -35,17 +35,25 @@
       Forwarder_(Loop_, BalancerIdentity{Host.Zone, Host.Data},
                  {[this](const WantRoster &Wanted) { onWantRoster(Wanted); },
                   [this](const Event &What) { record(What); }}),
-      Exchange_(View_, Self_, Host.Control, randomBits()),
-      Filter_(Host.Peers, Host.Zone) {}
+      Peers_(Host, Self_, randomBits(), Timeline_, peerListener()) {}
 
 BalancerDaemon::~BalancerDaemon() = default;
 
+Peering::Listener BalancerDaemon::peerListener() {
+  Peering::Listener Listener;
+  Listener.OnSettings = [this](const SettingsPtr &Value) { onSettings(Value); };
+  Listener.OnEvent = [this](const Event &What) { record(What); };
+  Listener.OnMessage =
+      [this](const std::shared_ptr<const wire::ControlMessage> &Value) {
+        onControl(*Value);
+      };
+  return Listener;
+}
+
 tl::expected<void, std::string> BalancerDaemon::start() {
   Loop_.onStopSignal([this] { onStop(); });
-  auto Bus = ControlBus::bind(Host_.Control);
-  if (!Bus)
-    return tl::unexpected("control port: " + Bus.error());
-  Bus_ = std::move(*Bus);
+  if (auto Started = Peers_.start(Host_.Control); !Started)
+    return Started;
   if (auto Opened = openForwarder(); !Opened)
     return Opened;
   if (auto Started = startAdmin(); !Started)
@@ -89,7 +97,7 @@
     Loop_.post(std::move(Task));
   };
   Listener.OnSettings = [this](const std::vector<StoredObject> &Objects) {
-    onSettings(Objects);
+    Peers_.merge(Objects);
   };
   Listener.OnRoster = [this](Roster Value) {
     Forwarder_.handle(RosterUpdate{std::move(Value)});
@@ -101,15 +109,10 @@
 }
 
 void BalancerDaemon::run() {
-  Loop_.watch(Bus_->descriptor(), [this] {
-    Bus_->receive(
-        [this](uint32_t FromIp,
-               const std::shared_ptr<const wire::ControlMessage> &Value) {
-          onControl(FromIp, *Value);
-        });
-  });
+  Peers_.watch(Loop_);
   Loop_.every(TickPeriod, [this] { onTick(); });
-  Loop_.every(GossipPeriod, [this] { gossip(); });
+  Loop_.every(GossipPeriod,
+              [this] { Peers_.gossip(gossipPeers(), Clock_.now()); });
   Event Started;
   Started.Kind = EventKind::Started;
   Started.Value = static_cast<uint64_t>(Self_.Start);
@@ -119,7 +122,8 @@
 
 // Peers know a roster when the platform is down, and often before it.
 void BalancerDaemon::onWantRoster(const WantRoster &Wanted) {
-  const ServiceSettings *Service = View_.current()->service(Wanted.Service);
+  const ServiceSettings *Service =
+      Peers_.view().current()->service(Wanted.Service);
   if (!Service)
     return;
   Link_->wantRoster(Service->Team, Service->Name, Wanted.KnownVersion);
@@ -129,39 +133,27 @@
       static_cast<uint64_t>(Wanted.Service));
   Message.mutable_roster_pull()->set_known_version(Known ? Known->Version : 0);
   if (Known && !Known->Agents.empty()) {
-    send(Known->Agents[Random_() % Known->Agents.size()].Control, Message);
+    Peers_.send(Known->Agents[Random_() % Known->Agents.size()].Control,
+                Message);
     return;
   }
   for (Endpoint Peer : Host_.Peers)
-    send(Peer, Message);
+    Peers_.send(Peer, Message);
 }
 
 void BalancerDaemon::record(const Event &What) {
   Timeline_.record(Clock_.wallTime(), What);
 }
 
-void BalancerDaemon::onControl(uint32_t FromIp,
-                               const wire::ControlMessage &Value) {
-  if (!Filter_.allows(FromIp)) {
-    ++ForeignMessages_;
-    return;
-  }
-  Timeline_.clock().observe(Value.hlc());
+void BalancerDaemon::onControl(const wire::ControlMessage &Value) {
   if (Value.has_roster_pull()) {
     onRosterPull(Value);
     return;
   }
-  if (Value.has_roster_push()) {
-    if (auto Pushed = wire::fromWire(Value.roster_push().roster()))
-      Forwarder_.handle(RosterUpdate{std::move(*Pushed)});
+  if (!Value.has_roster_push())
     return;
-  }
-  std::vector<Event> Events;
-  const auto Reply = [this](Endpoint To, const wire::ControlMessage &Answer) {
-    send(To, Answer);
-  };
-  if (Exchange_.onPeer(Value, Reply, Events))
-    settingsChanged(Events);
+  if (auto Pushed = wire::fromWire(Value.roster_push().roster()))
+    Forwarder_.handle(RosterUpdate{std::move(*Pushed)});
 }
 
 void BalancerDaemon::onRosterPull(const wire::ControlMessage &Value) {
@@ -172,7 +164,7 @@
     return;
   wire::ControlMessage Answer = envelope(Service);
   *Answer.mutable_roster_push()->mutable_roster() = wire::toWire(*Known);
-  send(*To, Answer);
+  Peers_.send(*To, Answer);
 }
 
 wire::ControlMessage BalancerDaemon::envelope(ServiceId Service) const {
@@ -185,30 +177,10 @@
   return Message;
 }
 
-void BalancerDaemon::send(Endpoint To, const wire::ControlMessage &Value) {
-  if (!Filter_.allows(To.Ip))
-    return;
-  wire::ControlMessage Stamped = Value;
-  Stamped.set_hlc(Timeline_.clock().stamp(Clock_.wallTime()));
-  Stamped.set_settings_version(View_.version());
-  Bus_->send(To, Stamped);
-}
-
-void BalancerDaemon::onSettings(const std::vector<StoredObject> &Objects) {
-  const SettingsPtr Before = View_.current();
-  const std::vector<Event> Events = View_.merge(Objects);
-  if (View_.current() != Before)
-    settingsChanged(Events);
-}
-
-void BalancerDaemon::settingsChanged(const std::vector<Event> &Events) {
-  for (const Event &What : Events)
-    record(What);
-  Filter_.update(View_.current());
-  Bus_->closeUnless([this](Endpoint Peer) { return Filter_.allows(Peer.Ip); });
+void BalancerDaemon::onSettings(const SettingsPtr &Value) {
   if (Host_.Mode == EntryMode::Direct)
-    Forwarder_.entry().bindServices(*View_.current());
-  Forwarder_.handle(SettingsUpdate{View_.current()});
+    Forwarder_.entry().bindServices(*Value);
+  Forwarder_.handle(SettingsUpdate{Value});
 }
 
 // As many agents as configured peers, so that an exchange reaches either kind.
@@ -221,14 +193,6 @@
   return Peers;
 }
 
-void BalancerDaemon::gossip() {
-  Exchange_.tick(gossipPeers(),
-                 [this](Endpoint To, const wire::ControlMessage &Value) {
-                   send(To, Value);
-                 });
-  Bus_->tick(Clock_.now());
-}
-
 void BalancerDaemon::onStop() {
   if (StoppingSince_) {
     Loop_.stop(); // The second signal: at once.
@@ -268,16 +232,16 @@
   Status.Name = Host_.Name;
   Status.Zone = Host_.Zone;
   Status.Stopping = StoppingSince_.has_value();
-  Status.SettingsSeen = View_.version();
-  Status.RefusedSettings = View_.refused();
+  Status.SettingsSeen = Peers_.view().version();
+  Status.RefusedSettings = Peers_.view().refused();
   Status.PlatformDown = Link_->down();
   Status.PlatformCalls = Link_->calls();
-  Status.ControlBytesSent = Bus_->bytesSent();
-  Status.ControlBytesReceived = Bus_->bytesReceived();
-  Status.ControlDropped = Bus_->dropped();
+  Status.ControlBytesSent = Peers_.bus().bytesSent();
+  Status.ControlBytesReceived = Peers_.bus().bytesReceived();
+  Status.ControlDropped = Peers_.bus().dropped();
   Status.MalformedPackets = Forwarder_.malformed();
-  Status.MalformedMessages = Bus_->malformed();
-  Status.ForeignMessages = ForeignMessages_;
+  Status.MalformedMessages = Peers_.bus().malformed();
+  Status.ForeignMessages = Peers_.foreign();
   Status.UnsentPackets = Forwarder_.unsent();
   return Status;
 }
--- a/src/steering/balancerdaemon.h
+++ b/src/steering/balancerdaemon.h
@@ -6,11 +6,9 @@
 #include "observe/admin.h"
 #include "observe/timeline.h"
 #include "platform/link.h"
-#include "settings/exchange.h"
 #include "settings/hostsettings.h"
-#include "settings/peerfilter.h"
-#include "shell/controlbus.h"
 #include "shell/loop.h"
+#include "shell/peering.h"
 #include "steering/balancerstatus.h"
 #include "steering/forwarder.h"
 
@@ -38,15 +36,13 @@
   void startPlatform();
 
   void onWantRoster(const WantRoster &Wanted);
-  void onControl(uint32_t FromIp, const wire::ControlMessage &Value);
+  Peering::Listener peerListener();
+  void onControl(const wire::ControlMessage &Value);
   void onRosterPull(const wire::ControlMessage &Value);
-  void onSettings(const std::vector<StoredObject> &Objects);
-  void settingsChanged(const std::vector<Event> &Events);
+  void onSettings(const SettingsPtr &Value);
   void record(const Event &What);
-  void send(Endpoint To, const wire::ControlMessage &Value);
   wire::ControlMessage envelope(ServiceId Service) const;
   std::vector<Endpoint> gossipPeers();
-  void gossip();
   void onTick();
   void onStop();
   /// Renders on the loop's thread for another one; empty when that is busy.
@@ -60,11 +56,7 @@
   Loop Loop_;
   Timeline Timeline_;
   Forwarder Forwarder_;
-  SettingsView View_;
-  SettingsExchange Exchange_;
-  PeerFilter Filter_;
-  std::unique_ptr<ControlBus> Bus_;
-  uint64_t ForeignMessages_ = 0;
+  Peering Peers_;
   /// Set when a graceful shutdown began.
   std::optional<TimePoint> StoppingSince_;
 
