Keep the daemons' common constants and their random bits in one place

Cause: both daemons drew random bits and named their periods on their own. Change: shell/entropy, and the periods beside Peering. No functional change.

--- a/src/agent/agentdaemon.cpp
+++ b/src/agent/agentdaemon.cpp
@@ -2,28 +2,20 @@
 #include "agentdaemon.h"
 
 #include "observe/statusmetrics.h"
+#include "shell/entropy.h"
 #include "wire/coap.h"
 #include "wire/framing.h"
 
 #include <nlohmann/json.hpp>
-#include <random>
 
 namespace dragonflystall {
 
 namespace {
 
-constexpr Duration TickPeriod = 50ms;
-constexpr Duration GossipPeriod = 1s;
 constexpr Duration StatusPeriod = 200ms;
-constexpr size_t TimelineCapacity = 8192; // events
 // Packets that are on their way while the last flow moves are still passed on.
 constexpr Duration ExitLinger = 1s;
 
-uint64_t randomBits() {
-  std::random_device Source;
-  return (uint64_t{Source()} << 32) | Source();
-}
-
 AgentIdentity identityOf(const HostSettings &Host) {
   AgentIdentity Identity;
   Identity.Team = Host.Team;
--- a/src/shell/peering.h
+++ b/src/shell/peering.h
@@ -18,6 +18,13 @@
 
 namespace dragonflystall {
 
+/// How often a daemon's core is told the time.
+constexpr Duration TickPeriod = 50ms;
+/// How often a daemon tells peers how new its settings are.
+constexpr Duration GossipPeriod = 1s;
+/// Events that a daemon's time line keeps.
+constexpr size_t TimelineCapacity = 8192;
+
 class Peering {
 public:
   struct Listener {
--- a/src/steering/balancerdaemon.cpp
+++ b/src/steering/balancerdaemon.cpp
@@ -1,32 +1,24 @@
 // Settings, rosters and peers of a balancer, its start and its shutdown.
 #include "balancerdaemon.h"
 
+#include "shell/entropy.h"
 #include "steering/balancerstatus.h"
 #include "wire/convert.h"
 
 #include <algorithm>
 #include <future>
-#include <random>
 
 namespace dragonflystall {
 
 namespace {
 
-constexpr Duration TickPeriod = 50ms;
-constexpr Duration GossipPeriod = 1s;
 /// How long a request on the admin port waits for the loop.
 constexpr Duration RenderTimeout = 1s;
-constexpr size_t TimelineCapacity = 8192; // events
 /// A stopping balancer goes on until no packet came for a while, so that
 /// answers to what it forwarded still find their callers.
 constexpr Duration StopQuietTime = 1s;
 constexpr Duration StopTimeout = 10s;
 
-uint64_t randomBits() {
-  std::random_device Source;
-  return (uint64_t{Source()} << 32) | Source();
-}
-
 } // namespace
 
 BalancerDaemon::BalancerDaemon(const HostSettings &Host)
