--- a/include/dragonflystall/settings.h
+++ b/include/dragonflystall/settings.h
@@ -23,7 +23,7 @@
   Duration RequestTimeout = 5s;    ///< When the caller names none.
   Duration TicketLifetime = 60s;
   Duration FlowIdleTimeout = 60min;
-  uint32_t RetryPercent = 10; ///< Retries and spills per 100 requests.
+  uint32_t RetryPercent = 10; ///< Tries elsewhere per 100 requests.
   uint64_t MaxBodyBytes = 2 << 20;
   std::vector<std::string> Drained; ///< Agents' names that are to leave.
   friend bool operator==(const ServiceSettings &,
--- a/src/requests/retrybudget.h
+++ b/src/requests/retrybudget.h
@@ -1,5 +1,5 @@
-// A token bucket: retries and spills stay a share of the requests, so that
-// they can't multiply the load when much fails at once.
+// A token bucket: tries at another upstream stay a share of the requests, so
+// that they can't multiply the load when much fails at once.
 #ifndef DRAGONFLYSTALL_SRC_REQUESTS_RETRYBUDGET_H
 #define DRAGONFLYSTALL_SRC_REQUESTS_RETRYBUDGET_H
 
--- a/src/settings/objects.cpp
+++ b/src/settings/objects.cpp
@@ -111,13 +111,15 @@
                  [](ServiceSettings &S, const Json &V) {
                    S.FlowIdleTimeout = std::chrono::seconds(V.get<int64_t>());
                  }},
-    ServiceField{{.Path = "retry_percent",
-                  .Unit = "per 100 requests",
-                  .Default = "10",
-                  .Min = 0,
-                  .Max = 100,
-                  .Help = "Retries and spills that the service may add."},
-                 [](ServiceSettings &S, const Json &V) { S.RetryPercent = V; }},
+    ServiceField{
+        {.Path = "retry_percent",
+         .Unit = "per 100 requests",
+         .Default = "10",
+         .Min = 0,
+         .Max = 100,
+         .Help =
+             "Tries at another upstream after the first one had the request."},
+        [](ServiceSettings &S, const Json &V) { S.RetryPercent = V; }},
     ServiceField{{.Path = "max_body_bytes",
                   .Unit = "bytes",
                   .Default = "2097152",
