--- a/scripts/lib/faults.sh
+++ b/scripts/lib/faults.sh
@@ -71,6 +71,21 @@
   sleep 4
 }
 
+fault_drain() {
+  phase "agent drained by settings"
+  "$bin/dragonflystall" drain "$team/${services[0]}" "$(agent_name 3)" \
+    --platform "$platform" >>"$work/drain.out" 2>&1 || broken "drain was refused"
+  local last
+  last=$(last_work_ms 5 3)
+  fact "drain: last new work after $last ms"
+  [ "$last" -le 2500 ] || broken "a drained agent got new work after $last ms"
+  phase "drain undone"
+  "$bin/dragonflystall" drain "$team/${services[0]}" "$(agent_name 3)" --undo \
+    --platform "$platform" >>"$work/drain.out" 2>&1 || broken "undo was refused"
+  await_ready 10 "$(agent_ip 3):7002" || broken "a drained agent does not come back"
+  sleep 3
+}
+
 fault_agent_kill() {
   phase "agent kill -9"
   lost_with "agent kill -9" 1
@@ -159,7 +174,7 @@
 
 run_faults() {
   local fault
-  for fault in ${only_faults:-balancer_kill balancer_stop agent_stop agent_kill \
+  for fault in ${only_faults:-balancer_kill balancer_stop agent_stop drain agent_kill \
     agent_pause zone platform_down lost_answers upstream_cold silent}; do
     phase "steady"
     sleep 2
@@ -171,7 +186,7 @@
 # Phases of planned changes: a flow may break in them only because it was lost
 # with an agent or a zone before, and had no good answer since.
 planned='["warm-up", "steady", "balancer kill -9", "balancer SIGTERM", "agent SIGTERM",
-  "agent joins", "after agent kill", "after agent pause", "zone stays out", "zone back",
+  "agent joins", "agent drained by settings", "drain undone", "after agent kill", "after agent pause", "zone stays out", "zone back",
   "platform down", "platform down, balancer joins", "platform back",
   "platform loses answers"]'
 
--- a/src/agent/agentcore.cpp
+++ b/src/agent/agentcore.cpp
@@ -11,7 +11,13 @@
 } // namespace
 
 AgentCore::AgentCore(const AgentIdentity &Self, uint64_t Seed)
-    : Requests_(Self, Seed ^ RequestsSeedSalt), Flows_(Self, Seed, Requests_) {}
+    : Self_(Self.Self.Agent.Id), Requests_(Self, Seed ^ RequestsSeedSalt),
+      Flows_(Self, Seed, Requests_) {}
+
+bool AgentCore::leaving() const {
+  const RosterEntry *Listed = Flows_.roster().find(Self_);
+  return Leaving_ || (Listed && Listed->Phase == AgentPhase::Leaving);
+}
 
 void AgentCore::handle(const AgentEvent &What, TimePoint Now,
                        AgentActions &Out) {
--- a/src/agent/agentcore.h
+++ b/src/agent/agentcore.h
@@ -19,7 +19,8 @@
 
   const Flows &flows() const { return Flows_; }
   const Requests &requests() const { return Requests_; }
-  bool leaving() const { return Leaving_; }
+  /// It stops, or the settings drain it.
+  bool leaving() const;
 
 private:
   void on(const AgentPacket &Packet, TimePoint Now, AgentActions &Out);
@@ -36,6 +37,7 @@
   void finish(FlowsOutput &From, TimePoint Now, AgentActions &Out);
   void nameHolders(AgentActions &Out, size_t First) const;
 
+  AgentId Self_;
   Requests Requests_; ///< Before Flows_, which refers to it.
   Flows Flows_;
   bool Leaving_ = false;  ///< Never returns to false.
