Render an agent's status once a round, not twice

Cause: five times a second the metrics rendered the status again, which the round had just rendered, to read the figures out of it. Change: the status in hand serves both. No functional change.

--- a/src/agent/agentdaemon.cpp
+++ b/src/agent/agentdaemon.cpp
@@ -220,7 +220,7 @@
 
 void AgentDaemon::publishStatus() {
   std::string Status = statusJson();
-  std::string Metrics = metricsText();
+  std::string Metrics = Timeline_.metricsText() + statusMetrics(Status);
   const std::lock_guard Lock(PublishedMutex_);
   PublishedStatus_ = std::move(Status);
   PublishedMetrics_ = std::move(Metrics);
@@ -257,8 +257,4 @@
   return Status.dump();
 }
 
-std::string AgentDaemon::metricsText() const {
-  return Timeline_.metricsText() + statusMetrics(statusJson());
-}
-
 } // namespace dragonflystall
--- a/src/agent/agentdaemon.h
+++ b/src/agent/agentdaemon.h
@@ -54,7 +54,6 @@
   void startUpstream();
   void publishStatus();
   std::string statusJson() const;
-  std::string metricsText() const;
 
   HostSettings Host_;
   SystemClock Clock_;
