Serve opaque flows on the users' machines

There, flows end at the upstreams and their packets can't be changed; the CoAP path has no part in that.

Change: src/opaque holds the I/O-free cores. A balancer places SYNs by load and caches the holder of a flow; a packet of an unknown flow is offered to each agent of the service in rendezvous order, with the state of the search in the echo field that bounced packets bring back. The agent admits new flows (route, service, draining, evacuation, warm-up) for all balancers. src/node is the single-threaded shell over libevent, platform/ the users' formats and calls.

Ruled out: a home for each flow (needs agreement between agents for what the upstream knows anyway); a hash alone (cannot place by load).

No functional change to the existing programs.

--- /dev/null
+++ b/src/node/balancer.h
@@ -0,0 +1,57 @@
+// The balancer process for opaque flows: its sockets round the steering core.
+#ifndef DRAGONFLYSTALL_SRC_NODE_BALANCER_H
+#define DRAGONFLYSTALL_SRC_NODE_BALANCER_H
+
+#include "node/process.h"
+#include "opaque/steering.h"
+
+namespace dragonflystall::node {
+
+class Balancer : public Process {
+public:
+  Balancer(const Settings &Initial, SettingsReader Read);
+
+protected:
+  void onTick(TimePoint Now) override;
+  void onControl(const opaque::ControlMessage &Message, Endpoint From,
+                 TimePoint Now) override;
+  void onPeerAgents(const std::vector<opaque::AgentEntry> &Agents) override;
+  void onStop(TimePoint Now) override;
+  bool ready() const override;
+  std::vector<opaque::AgentEntry> agentsForPeers() const override;
+
+private:
+  void onCallerDatagram(Endpoint From, std::string_view Bytes);
+  void onReturnedDatagram(Endpoint From, std::string_view Bytes);
+  void carryOut(const opaque::SteerAction &Action,
+                const opaque::PacketHead &Head, std::string_view Bytes,
+                TimePoint Now);
+  void logAction(const opaque::SteerAction &Action,
+                 const opaque::PacketHead &Head, TimePoint Now);
+  void ping(TimePoint Now);
+  void removeDead(TimePoint Now);
+  void onAgentObject(const platform::Object &Listed);
+
+  opaque::Directory Agents_;
+  opaque::Steering Steering_;
+  KindFollower Listed_;
+  HttpChannel RemoveChannel_;
+  UdpSocket *FromCallers_ = nullptr;
+  UdpSocket *ToAgents_ = nullptr;
+  std::vector<std::pair<opaque::AgentEntry, int64_t>> Page_;
+  /// Agents are known from the store or from a peer.
+  bool AgentsKnown_ = false;
+  uint64_t PingNumber_ = 0;
+  TimePoint NextPing_{};
+  TimePoint NextSweep_{};
+  TimePoint ExitAt_{};
+  std::array<Counter *, opaque::SteerReasonNames.size()> Steered_{};
+  Counter &Malformed_;
+  Gauge &AgentsAlive_;
+  Gauge &AgentsTotal_;
+  Gauge &CachedFlows_;
+};
+
+} // namespace dragonflystall::node
+
+#endif
--- /dev/null
+++ b/src/observe/eventlog.cpp
@@ -0,0 +1,95 @@
+// Bounded JSON lines.
+#include "observe/eventlog.h"
+
+#include "observe/jsontext.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+#include <utility>
+
+namespace dragonflystall {
+
+namespace {
+
+int64_t wallMilliseconds() {
+  using namespace std::chrono;
+  return duration_cast<milliseconds>(system_clock::now().time_since_epoch())
+      .count();
+}
+
+} // namespace
+
+EventLog::EventLog(std::string Process, int Descriptor)
+    : Process_(jsonString(Process)), Descriptor_(Descriptor) {
+  // A reader that does not read costs lines, not packets.
+  const int Flags = ::fcntl(Descriptor_, F_GETFL);
+  if (Flags >= 0)
+    ::fcntl(Descriptor_, F_SETFL, Flags | O_NONBLOCK);
+}
+
+bool EventLog::wants(LogClass Class, TimePoint Now) {
+  Now_ = Now;
+  const auto Index = static_cast<size_t>(Class);
+  if (Used_[Index] >= LinesPerSecond[Index]) {
+    ++LeftOut_[Index];
+    ++TotalLeftOut_;
+    return false;
+  }
+  ++Used_[Index];
+  return true;
+}
+
+void EventLog::tick(TimePoint Now) {
+  Now_ = Now;
+  if (Now - Second_ < 1s)
+    return;
+  Second_ = Now;
+  Used_ = {};
+  const std::array<uint64_t, 3> LeftOut = std::exchange(LeftOut_, {});
+  const uint64_t Blocked = std::exchange(Blocked_, 0);
+  if (LeftOut == std::array<uint64_t, 3>{} && Blocked == 0)
+    return;
+  Line L(*this, LogClass::State, "log-left-out");
+  for (size_t I = 0; I < LeftOut.size(); ++I)
+    L.number(LogClassNames[I], LeftOut[I]);
+  L.number("blocked", Blocked);
+}
+
+void EventLog::write(std::string_view Text) {
+  const ssize_t Written = ::write(Descriptor_, Text.data(), Text.size());
+  if (Written == static_cast<ssize_t>(Text.size()))
+    return;
+  ++Blocked_;
+  ++TotalLeftOut_;
+}
+
+EventLog::Line::Line(EventLog &Log, LogClass Class, std::string_view Event)
+    : Log_(Log), Wanted_(Log.wants(Class, Log.Now_)) {
+  if (Wanted_)
+    fmt::format_to(std::back_inserter(Buffer_),
+                   "{{\"time_ms\":{},\"node\":{},\"class\":\"{}\",\"event\":"
+                   "\"{}\"",
+                   wallMilliseconds(), Log.Process_, name(Class), Event);
+}
+
+EventLog::Line::~Line() {
+  if (!Wanted_)
+    return;
+  Buffer_.append(std::string_view("}\n"));
+  Log_.write({Buffer_.data(), Buffer_.size()});
+}
+
+EventLog::Line &EventLog::Line::text(std::string_view Key,
+                                     std::string_view Value) {
+  if (Wanted_)
+    fmt::format_to(std::back_inserter(Buffer_), ",\"{}\":{}", Key,
+                   jsonString(Value));
+  return *this;
+}
+
+EventLog::Line &EventLog::Line::age(std::string_view Key, Duration Value) {
+  using std::chrono::milliseconds;
+  return number(Key, std::chrono::duration_cast<milliseconds>(Value).count());
+}
+
+} // namespace dragonflystall
--- /dev/null
+++ b/src/opaque/directory.cpp
@@ -0,0 +1,206 @@
+// Liveness and choice of agents.
+#include "opaque/directory.h"
+
+#include "opaque/trail.h"
+
+#include <algorithm>
+
+namespace dragonflystall::opaque {
+
+namespace {
+
+/// A flow that pauses between requests weighs this share of one in progress.
+constexpr double OpenFlowWeight = 0.03;
+/// What a way into another availability zone weighs, as a share of all slots.
+constexpr double OtherZoneCost = 0.35;
+/// What a cold upstream weighs, as a share of all slots.
+constexpr double ColdCost = 1.0;
+/// What each repeated SYN weighs, as a share of all slots.
+constexpr double UnansweredCost = 0.5;
+/// Keeps balancers with the same view from all choosing the same agent.
+constexpr double JitterCost = 0.15;
+
+uint64_t mixed(uint64_t Hash, AgentId Id) {
+  uint64_t X = Hash ^ (static_cast<uint64_t>(Id) * 0x9e3779b97f4a7c15ULL);
+  X = (X ^ (X >> 31)) * 0xbf58476d1ce4e5b9ULL;
+  return X ^ (X >> 29);
+}
+
+bool takesFlows(Intake State) {
+  return State == Intake::Open || State == Intake::Cold;
+}
+
+/// How willing an agent is; lower is better, and none is chosen above another
+/// tier while a lower one has agents left.
+enum class Tier : uint8_t { Taking, Unknown, Refusing };
+
+} // namespace
+
+Agent &Directory::upsert(const AgentEntry &Entry, TimePoint Now) {
+  std::unique_ptr<Agent> &Place = Agents_[Entry.Name];
+  const bool Changed = !Place || !(Place->Entry == Entry);
+  if (!Place || !(Place->Entry == Entry)) {
+    Place = std::make_unique<Agent>();
+    Place->Id = agentId(Entry.Name);
+    Place->Entry = Entry;
+    Place->FirstSeen = Now;
+  }
+  if (Changed)
+    rebuild();
+  return *Agents_[Entry.Name];
+}
+
+void Directory::list(const AgentEntry &Entry, int64_t Revision, TimePoint Now) {
+  upsert(Entry, Now).Revision = Revision;
+}
+
+void Directory::hear(const AgentEntry &Entry, TimePoint Now) {
+  const Agent *Known = find(Entry.Name);
+  if (Known && Known->Entry == Entry)
+    return;
+  upsert(Entry, Now);
+}
+
+void Directory::unlist(const std::string &Name) {
+  if (Agent *A = find(Name))
+    A->Revision = 0;
+}
+
+void Directory::listAll(
+    const std::vector<std::pair<AgentEntry, int64_t>> &Entries, TimePoint Now) {
+  for (auto &[Name, A] : Agents_)
+    A->Revision = 0;
+  for (const auto &[Entry, Revision] : Entries)
+    list(Entry, Revision, Now);
+}
+
+void Directory::onPong(const Pong &Message, TimePoint Now) {
+  Agent *A = find(Message.Name);
+  if (!A || A->Entry.Service != Message.Service)
+    return;
+  A->Last = Message;
+  A->LastPong = Now;
+  A->SentSince = 0;
+  A->Unanswered = 0;
+  A->AskedAt = {};
+}
+
+void Directory::onPingSent(Agent &To, TimePoint Now) {
+  if (To.AskedAt == TimePoint{})
+    To.AskedAt = Now;
+}
+
+void Directory::expire(TimePoint Now) {
+  std::vector<std::string> Gone;
+  for (const auto &[Name, A] : Agents_)
+    if (!A->listed() && Now - std::max(A->LastPong, A->FirstSeen) > ForgetAfter)
+      Gone.push_back(Name);
+  for (const std::string &Name : Gone)
+    erase(Name);
+}
+
+void Directory::erase(const std::string &Name) {
+  Agents_.erase(Name);
+  rebuild();
+}
+
+void Directory::rebuild() {
+  ById_.clear();
+  ByService_.clear();
+  for (const auto &[Name, A] : Agents_) {
+    ById_[A->Id] = A.get();
+    ByService_[A->Entry.Service].push_back(A.get());
+  }
+  ++Generation_;
+}
+
+Agent *Directory::find(AgentId Id) {
+  const auto It = ById_.find(Id);
+  return It == ById_.end() ? nullptr : It->second;
+}
+
+Agent *Directory::find(const std::string &Name) {
+  const auto It = Agents_.find(Name);
+  return It == Agents_.end() ? nullptr : It->second.get();
+}
+
+size_t Directory::countOf(const std::string &Service) const {
+  const auto It = ByService_.find(Service);
+  return It == ByService_.end() ? 0 : It->second.size();
+}
+
+bool Directory::suspect(const Agent &A, TimePoint Now) const {
+  return A.AskedAt != TimePoint{} && Now - A.AskedAt > SuspectAfter;
+}
+
+uint32_t Directory::triedBit(const Agent &A) {
+  return 1u << (static_cast<uint32_t>(A.Id) % Trail::TriedBits);
+}
+
+double Directory::costOf(const Agent &A) {
+  const double Slots = A.Last.Slots;
+  double Cost = (A.Last.Busy + A.SentSince) / Slots;
+  Cost += OpenFlowWeight * A.Last.OpenFlows / Slots;
+  Cost += UnansweredCost * A.Unanswered;
+  if (A.Entry.Zone != Zone_)
+    Cost += OtherZoneCost;
+  if (A.Last.State == Intake::Cold)
+    Cost += ColdCost;
+  return Cost + std::uniform_real_distribution<>(0, JitterCost)(Rng_);
+}
+
+Agent *Directory::choose(const std::string &Service, uint32_t Tried,
+                         TimePoint Now) {
+  const auto It = ByService_.find(Service);
+  if (It == ByService_.end())
+    return nullptr;
+  Agent *Best = nullptr;
+  std::pair<Tier, double> BestCost;
+  for (Agent *A : It->second) {
+    if (Tried & triedBit(*A))
+      continue;
+    Tier Level = Tier::Taking;
+    if (!A->everAnswered() || suspect(*A, Now))
+      Level = Tier::Unknown;
+    else if (!takesFlows(A->Last.State))
+      Level = Tier::Refusing;
+    const std::pair<Tier, double> Cost = {Level, costOf(*A)};
+    if (!Best || Cost < BestCost) {
+      Best = A;
+      BestCost = Cost;
+    }
+  }
+  return Best;
+}
+
+Agent *Directory::inOrder(const std::string &Service, uint64_t FlowHash,
+                          uint32_t Position) {
+  const auto It = ByService_.find(Service);
+  if (It == ByService_.end() || Position >= It->second.size())
+    return nullptr;
+  std::vector<Agent *> Order = It->second;
+  const auto Less = [FlowHash](const Agent *A, const Agent *B) {
+    const uint64_t Left = mixed(FlowHash, A->Id);
+    const uint64_t Right = mixed(FlowHash, B->Id);
+    return Left != Right ? Left < Right : A->Id < B->Id;
+  };
+  std::nth_element(Order.begin(), Order.begin() + Position, Order.end(), Less);
+  return Order[Position];
+}
+
+std::vector<const Agent *> Directory::removable(TimePoint Now) const {
+  std::vector<const Agent *> Result;
+  size_t Answering = 0;
+  for (const auto &[Name, A] : Agents_) {
+    Answering += A->everAnswered() && !suspect(*A, Now);
+    const TimePoint Alive = std::max(A->LastPong, A->FirstSeen);
+    if (A->listed() && suspect(*A, Now) && Now - Alive > RemoveAfter)
+      Result.push_back(A.get());
+  }
+  // A balancer that hears of nobody is itself the one that is cut off.
+  if (Answering * 2 < Agents_.size() - Result.size() || Answering == 0)
+    Result.clear();
+  return Result;
+}
+
+} // namespace dragonflystall::opaque
--- /dev/null
+++ b/src/opaque/gate.cpp
@@ -0,0 +1,139 @@
+// Admission of new flows and passage of packets beside an upstream.
+#include "opaque/gate.h"
+
+#include <cmath>
+
+namespace dragonflystall::opaque {
+
+namespace {
+
+constexpr Duration AverageOver = 1s;
+constexpr Duration SweepInterval = 1s;
+
+GateAction toUpstream(GateReason Why) {
+  return {GateAction::Kind::ToUpstream, Why, {}, {}, false};
+}
+
+} // namespace
+
+GateAction Gate::refuse(const PacketHead &Head, Endpoint Balancer,
+                        GateReason Why) {
+  Trail Way = Trail::decode(Head.Echo);
+  Way.Refused = true;
+  return {GateAction::Kind::ToBalancer, Why, Balancer, Way, false};
+}
+
+GateAction Gate::open(const PacketHead &Head, Endpoint Balancer,
+                      TimePoint Now) {
+  const std::string *Service = Config_.manifest().serviceOf(Head.Destination);
+  if (!Service)
+    return refuse(Head, Balancer, GateReason::NoRoute);
+  if (*Service != service())
+    return refuse(Head, Balancer, GateReason::WrongService);
+  if (!Upstream_.admits(Now))
+    return refuse(Head, Balancer,
+                  Upstream_.intake(Now) == Intake::Cold
+                      ? GateReason::OverBudget
+                      : GateReason::NotTaking);
+  Upstream_.onSynPassed(Now);
+  Flow &F = Flows_[hashOf(Head.fromCaller())];
+  F.Balancer = Balancer;
+  F.LastUsed = Now;
+  return toUpstream(GateReason::Admitted);
+}
+
+GateAction Gate::fromBalancer(const PacketHead &Head, Endpoint Balancer,
+                              TimePoint Now) {
+  const Trail Way = Trail::decode(Head.Echo);
+  if (Head.Bounced || (Head.Syn && Head.Ack) || Way.How == Trail::Mode::None)
+    return {};
+  if (Head.opens())
+    return open(Head, Balancer, Now);
+  const std::string *Service = Config_.manifest().serviceOf(Head.Destination);
+  if (Service && *Service != service())
+    return refuse(Head, Balancer, GateReason::WrongService);
+  Flow &F = Flows_[hashOf(Head.fromCaller())];
+  if (Way.How == Trail::Mode::Search)
+    F.Searched = true;
+  F.Balancer = Balancer;
+  F.LastUsed = Now;
+  if (Head.PayloadBytes > 0)
+    setBusy(F, true, Now);
+  return toUpstream(GateReason::Passed);
+}
+
+GateAction Gate::bounced(const PacketHead &Head, TimePoint Now) {
+  Upstream_.onBounce();
+  const auto It = Flows_.find(hashOf(Head.fromCaller()));
+  if (It == Flows_.end())
+    return {};
+  const Endpoint Balancer = It->second.Balancer;
+  setBusy(It->second, false, Now);
+  Flows_.erase(It);
+  return {GateAction::Kind::ToBalancer, GateReason::Bounced, Balancer,
+          Trail::decode(Head.Echo), false};
+}
+
+GateAction Gate::fromUpstream(const PacketHead &Head, TimePoint Now) {
+  if (Head.Bounced)
+    return bounced(Head, Now);
+  GateAction Action = {
+      GateAction::Kind::ToCaller, GateReason::Answered, {}, {}, false};
+  const auto It = Flows_.find(hashOf(Head.toCaller()));
+  if (It == Flows_.end())
+    return Action;
+  Upstream_.onAnswer(Now);
+  Flow &F = It->second;
+  F.LastUsed = Now;
+  if (Head.PayloadBytes > 0 || Head.Fin || Head.Reset)
+    setBusy(F, false, Now);
+  if (F.Searched && !Head.Reset) {
+    F.Searched = false;
+    Action.Balancer = F.Balancer;
+    Action.TellHolder = true;
+  }
+  return Action;
+}
+
+void Gate::averageBusy(TimePoint Now) {
+  const double Share =
+      std::exp(-std::chrono::duration<double>(Now - AveragedAt_) /
+               std::chrono::duration<double>(AverageOver));
+  BusyAverage_ = Share * BusyAverage_ + (1 - Share) * BusyFlows_;
+  AveragedAt_ = Now;
+}
+
+void Gate::setBusy(Flow &F, bool Busy, TimePoint Now) {
+  if (F.Busy == Busy)
+    return;
+  averageBusy(Now);
+  F.Busy = Busy;
+  BusyFlows_ += Busy ? 1 : -1;
+}
+
+double Gate::busy(TimePoint Now) {
+  averageBusy(Now);
+  return BusyAverage_;
+}
+
+void Gate::forgetFlows(TimePoint Now) {
+  averageBusy(Now);
+  Flows_.clear();
+  BusyFlows_ = 0;
+}
+
+void Gate::tick(TimePoint Now) {
+  if (Now - SweptAt_ < SweepInterval)
+    return;
+  SweptAt_ = Now;
+  for (auto It = Flows_.begin(); It != Flows_.end();) {
+    if (Now - It->second.LastUsed < Config_.manifest().FlowIdleTimeout) {
+      ++It;
+      continue;
+    }
+    setBusy(It->second, false, Now);
+    It = Flows_.erase(It);
+  }
+}
+
+} // namespace dragonflystall::opaque
--- /dev/null
+++ b/src/opaque/gate.h
@@ -0,0 +1,99 @@
+// The agent's core for opaque flows: every packet to and from the upstream
+// beside it passes here. It alone decides whether a new flow may open, so that
+// balancers with stale views break nothing.
+#ifndef DRAGONFLYSTALL_SRC_OPAQUE_GATE_H
+#define DRAGONFLYSTALL_SRC_OPAQUE_GATE_H
+
+#include "opaque/trail.h"
+#include "opaque/upstream.h"
+
+#include <optional>
+#include <unordered_map>
+
+namespace dragonflystall::opaque {
+
+enum class GateReason : uint8_t {
+  Admitted,     ///< A new flow, passed to the upstream.
+  Passed,       ///< A packet of a flow, passed to the upstream.
+  Answered,     ///< From the upstream, passed to the caller.
+  Bounced,      ///< The upstream returned it.
+  NoRoute,      ///< Refused: not in the manifest.
+  WrongService, ///< Refused: the route belongs to another service.
+  NotTaking,    ///< Refused: see the intake state.
+  OverBudget,   ///< Refused: the upstream is cold and has had its share.
+  Stray,        ///< Not a packet that a balancer may send.
+};
+constexpr std::array<std::string_view, 9> GateReasonNames = {
+    "admitted",      "passed",     "answered",    "bounced", "no-route",
+    "wrong-service", "not-taking", "over-budget", "stray"};
+constexpr std::string_view name(GateReason R) {
+  return GateReasonNames[static_cast<size_t>(R)];
+}
+
+/// What is to become of one packet.
+struct GateAction {
+  enum class Kind : uint8_t { ToUpstream, ToCaller, ToBalancer, Drop };
+
+  Kind What = Kind::Drop;
+  GateReason Why = GateReason::Stray;
+  /// ToBalancer: where the packet came from.
+  Endpoint Balancer;
+  /// ToBalancer: what to write as the packet's trail.
+  Trail Way;
+  /// Tell the balancer that this agent holds the flow.
+  bool TellHolder = false;
+};
+
+class Gate {
+public:
+  Gate(const Configuration &Config, Upstream &Beside, std::string Service,
+       size_t MostFlows)
+      : Config_(Config), Upstream_(Beside), Service_(std::move(Service)) {
+    Flows_.reserve(MostFlows / 4);
+  }
+
+  /// A packet that a balancer sent.
+  GateAction fromBalancer(const PacketHead &Head, Endpoint Balancer,
+                          TimePoint Now);
+  /// A packet that the upstream sent.
+  GateAction fromUpstream(const PacketHead &Head, TimePoint Now);
+  /// Call regularly: forgets idle flows.
+  void tick(TimePoint Now);
+  /// The upstream started anew: it holds none of these flows.
+  void forgetFlows(TimePoint Now);
+
+  /// The service that the upstream beside serves.
+  const std::string &service() const {
+    return Upstream_.known() ? Upstream_.service() : Service_;
+  }
+  size_t openFlows() const { return Flows_.size(); }
+  /// Requests in progress, averaged over about a second.
+  double busy(TimePoint Now);
+
+private:
+  struct Flow {
+    Endpoint Balancer;     ///< The last one that sent a packet of the flow.
+    bool Busy = false;     ///< Its caller has sent data and no answer came yet.
+    bool Searched = false; ///< The balancer does not know that it is here.
+    TimePoint LastUsed{};
+  };
+
+  GateAction open(const PacketHead &Head, Endpoint Balancer, TimePoint Now);
+  GateAction refuse(const PacketHead &Head, Endpoint Balancer, GateReason Why);
+  GateAction bounced(const PacketHead &Head, TimePoint Now);
+  void setBusy(Flow &F, bool Busy, TimePoint Now);
+  void averageBusy(TimePoint Now);
+
+  const Configuration &Config_;
+  Upstream &Upstream_;
+  std::string Service_; ///< By the settings, until the upstream says its own.
+  std::unordered_map<uint64_t, Flow> Flows_;
+  uint32_t BusyFlows_ = 0; ///< Flows with Busy set.
+  double BusyAverage_ = 0;
+  TimePoint AveragedAt_{};
+  TimePoint SweptAt_{};
+};
+
+} // namespace dragonflystall::opaque
+
+#endif
--- /dev/null
+++ b/src/opaque/storewatch.h
@@ -0,0 +1,109 @@
+// Follows one kind of object in the store: list, then watch from there, and
+// list again when the history is gone. It decides which call is due; the shell
+// makes it.
+#ifndef DRAGONFLYSTALL_SRC_OPAQUE_STOREWATCH_H
+#define DRAGONFLYSTALL_SRC_OPAQUE_STOREWATCH_H
+
+#include "dragonflystall/clock.h"
+
+#include <algorithm>
+#include <optional>
+#include <string>
+
+namespace dragonflystall::opaque {
+
+/// Waits between tries: doubles from Least to Most, a random part of it off.
+class Backoff {
+public:
+  static constexpr Duration Least = 200ms;
+  static constexpr Duration Most = 1500ms;
+
+  explicit Backoff(uint64_t Seed) : Rng_(Seed) {}
+
+  bool over(TimePoint Now) const { return Now >= Until_; }
+  void fail(TimePoint Now) {
+    Wait_ = std::clamp(2 * Wait_, Least, Most);
+    const double Part = std::uniform_real_distribution<>(0.5, 1)(Rng_);
+    Until_ = Now + std::chrono::duration_cast<Duration>(Part * Wait_);
+  }
+  void succeed() {
+    Wait_ = Duration::zero();
+    Until_ = {};
+  }
+
+private:
+  Random Rng_;
+  Duration Wait_{};
+  TimePoint Until_{};
+};
+
+class StoreWatch {
+public:
+  /// How long a watch may wait for an event at the store.
+  static constexpr Duration WatchWait = 25s;
+
+  struct Call {
+    /// Unset: list, from behind After. Set: watch from this revision.
+    std::optional<int64_t> WatchFrom;
+    std::string After;
+  };
+
+  explicit StoreWatch(uint64_t Seed) : Retry_(Seed) {}
+
+  /// The call that is due, which counts as under way from now on.
+  std::optional<Call> next(TimePoint Now) {
+    if (UnderWay_ || !Retry_.over(Now))
+      return std::nullopt;
+    UnderWay_ = true;
+    return Call{Revision_, After_};
+  }
+
+  /// A page of a list. Truncated: the list goes on behind LastName.
+  void onPage(int64_t Revision, bool Truncated, const std::string &LastName) {
+    UnderWay_ = false;
+    Retry_.succeed();
+    // Watch from the first page's revision, so that no change between the
+    // pages is missed.
+    if (FirstPage_ == 0)
+      FirstPage_ = Revision;
+    After_ = Truncated ? LastName : "";
+    if (Truncated)
+      return;
+    Revision_ = FirstPage_;
+    FirstPage_ = 0;
+  }
+  void onEvents(int64_t Revision) {
+    UnderWay_ = false;
+    Retry_.succeed();
+    Revision_ = std::max(Revision, *Revision_);
+  }
+  /// The history is gone, or something shows that the watch has missed a
+  /// change: list again. Not while a call is under way.
+  void restart() {
+    UnderWay_ = false;
+    Revision_.reset();
+    After_.clear();
+    FirstPage_ = 0;
+  }
+  void onFailure(TimePoint Now) {
+    UnderWay_ = false;
+    Retry_.fail(Now);
+  }
+
+  /// The whole list was read and changes are followed.
+  bool listed() const { return Revision_.has_value(); }
+  /// Whether page() starts a new list.
+  bool atFirstPage() const { return FirstPage_ == 0; }
+  int64_t revision() const { return Revision_.value_or(0); }
+
+private:
+  Backoff Retry_;
+  bool UnderWay_ = false;
+  std::optional<int64_t> Revision_;
+  std::string After_;
+  int64_t FirstPage_ = 0;
+};
+
+} // namespace dragonflystall::opaque
+
+#endif
--- /dev/null
+++ b/src/opaque/upstream.cpp
@@ -0,0 +1,128 @@
+// Belief about an upstream from its heartbeats, its answers and its silence.
+#include "opaque/upstream.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dragonflystall::opaque {
+
+namespace {
+
+/// Clocks are read and packets travel: close before the address can be reused.
+constexpr Duration ReuseMargin = 100ms;
+/// What an upstream says of its warm-up is older than its arrival.
+constexpr Duration ColdMargin = 200ms;
+/// Share of what a cold upstream bears that is used: the limit holds at the
+/// upstream, where packets may arrive closer together than they left.
+constexpr double ColdShare = 0.8;
+/// An upstream that answers no SYN for so long gets one at a time.
+constexpr Duration UnresponsiveAfter = 300ms;
+constexpr uint32_t UnresponsiveSyns = 3;
+constexpr Duration ProbeInterval = 250ms;
+
+} // namespace
+
+bool SlidingBudget::allows(uint32_t Limit, TimePoint Now) {
+  while (!Spent_.empty() && Now - Spent_.front() > Window)
+    Spent_.pop_front();
+  return Now >= NothingBefore_ && Spent_.size() < Limit;
+}
+
+HeartbeatVerdict Upstream::onHeartbeat(const Heartbeat &Beat, TimePoint Now) {
+  if (Beat.Address != Settings_.Address)
+    return HeartbeatVerdict::Elsewhere;
+  if (Beat.Started < Beat_.Started)
+    return HeartbeatVerdict::OldStart;
+  const bool SameStart = Beat.Id == Beat_.Id && Beat.Started == Beat_.Started;
+  if (SameStart && (Left_ || Beat.Sequence <= Beat_.Sequence))
+    return HeartbeatVerdict::Late;
+  Beat_ = Beat;
+  Left_ = false;
+  LastAlive_ = Now;
+  ColdUnknown_ = false;
+  ColdUntil_ = {};
+  if (Beat.ColdFor > Duration::zero())
+    ColdUntil_ = Now + Beat.ColdFor + ColdMargin;
+  if (SameStart)
+    return HeartbeatVerdict::Taken;
+  UnansweredSyns_ = 0;
+  return HeartbeatVerdict::TakenNewStart;
+}
+
+bool Upstream::onLeave(const std::string &Id) {
+  if (Id != Beat_.Id)
+    return false;
+  Left_ = true;
+  return true;
+}
+
+void Upstream::onAnswer(TimePoint Now) {
+  LastAlive_ = Now;
+  UnansweredSyns_ = 0;
+}
+
+void Upstream::onSynPassed(TimePoint Now) {
+  if (UnansweredSyns_++ == 0)
+    FirstUnanswered_ = Now;
+  LastSyn_ = Now;
+  // Also while it seems warm: it may have turned cold without a word yet.
+  Cold_.spend(Now);
+}
+
+void Upstream::onEvacuationsChanged() {
+  const bool Evacuated = Config_.evacuated(Settings_.Zone);
+  if (WasEvacuated_ && !Evacuated)
+    ColdUnknown_ = true;
+  WasEvacuated_ = Evacuated;
+}
+
+bool Upstream::silent(TimePoint Now) const {
+  return !known() || Left_ ||
+         Now - LastAlive_ > Settings_.AddressReuseAfter - ReuseMargin;
+}
+
+bool Upstream::unresponsive(TimePoint Now) const {
+  return UnansweredSyns_ >= UnresponsiveSyns &&
+         Now - FirstUnanswered_ > UnresponsiveAfter;
+}
+
+bool Upstream::cold(TimePoint Now) const {
+  return ColdUnknown_ || Now < ColdUntil_;
+}
+
+Intake Upstream::intake(TimePoint Now) const {
+  if (!Config_.known())
+    return Intake::Unready;
+  if (Config_.evacuated(Settings_.Zone))
+    return Intake::Evacuated;
+  if (known() && Beat_.Draining)
+    return Intake::Draining;
+  if (silent(Now) || unresponsive(Now))
+    return Intake::Silent;
+  return cold(Now) ? Intake::Cold : Intake::Open;
+}
+
+uint32_t Upstream::coldLimit() const {
+  const auto &Services = Config_.manifest().Services;
+  const auto It = Services.find(Beat_.Service);
+  const double PerSecond = It == Services.end() ? 0 : It->second.PerSecond;
+  const double Bears = PerSecond * Settings_.ColdFactor + Settings_.ColdSlack;
+  return std::max<uint32_t>(1, std::floor(ColdShare * Bears));
+}
+
+bool Upstream::admits(TimePoint Now) {
+  switch (intake(Now)) {
+  case Intake::Open:
+    return true;
+  case Intake::Cold:
+    return Cold_.allows(coldLimit(), Now);
+  case Intake::Silent:
+    // One now and then shows whether it answers again.
+    return !silent(Now) && Now - LastSyn_ > ProbeInterval &&
+           Cold_.allows(coldLimit(), Now);
+  default:
+    return false;
+  }
+}
+
+} // namespace dragonflystall::opaque
--- /dev/null
+++ b/src/shell/http.cpp
@@ -0,0 +1,202 @@
+// HTTP over libevent.
+#include "shell/http.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace dragonflystall {
+
+namespace {
+
+/// A path that went silent is noticed after about three seconds.
+constexpr int KeepAliveIdleSeconds = 1;
+constexpr int KeepAliveIntervalSeconds = 1;
+constexpr int KeepAliveProbes = 2;
+constexpr unsigned UserTimeoutMilliseconds = 2500;
+constexpr int ServerIdleSeconds = 60;
+
+std::string textOf(uint32_t Ip) {
+  const std::string Full = toString(Endpoint{Ip, 0});
+  return Full.substr(0, Full.find(':'));
+}
+
+std::string bodyOf(evbuffer *Buffer) {
+  std::string Body(evbuffer_get_length(Buffer), '\0');
+  evbuffer_copyout(Buffer, Body.data(), Body.size());
+  return Body;
+}
+
+void detectSilence(int Socket) {
+  const auto Set = [Socket](int Level, int Option, auto Value) {
+    ::setsockopt(Socket, Level, Option, &Value, sizeof(Value));
+  };
+  Set(SOL_SOCKET, SO_KEEPALIVE, 1);
+  Set(IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleSeconds);
+  Set(IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveIntervalSeconds);
+  Set(IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
+  Set(IPPROTO_TCP, TCP_USER_TIMEOUT, UserTimeoutMilliseconds);
+}
+
+evhttp_cmd_type commandOf(HttpMethod Method) {
+  switch (Method) {
+  case HttpMethod::Get:
+    return EVHTTP_REQ_GET;
+  case HttpMethod::Post:
+    return EVHTTP_REQ_POST;
+  case HttpMethod::Put:
+    return EVHTTP_REQ_PUT;
+  case HttpMethod::Delete:
+    return EVHTTP_REQ_DELETE;
+  }
+  return EVHTTP_REQ_GET;
+}
+
+timeval toTimeval(Duration Time) {
+  const auto Microseconds =
+      std::chrono::duration_cast<std::chrono::microseconds>(Time).count();
+  return {Microseconds / 1000000, Microseconds % 1000000};
+}
+
+} // namespace
+
+std::string pathOf(const std::string &Target) {
+  return Target.substr(0, Target.find('?'));
+}
+
+struct HttpChannel::State {
+  event_base *Base = nullptr;
+  Endpoint Server;
+  evhttp_connection *Connection = nullptr;
+  bool Broken = false;
+  Done OnDone; ///< Set while a request is under way.
+
+  void open();
+  void close();
+  static void onDone(evhttp_request *Request, void *Self);
+};
+
+void HttpChannel::State::open() {
+  if (Connection && !Broken)
+    return;
+  close();
+  Connection = evhttp_connection_base_new(
+      Base, nullptr, textOf(Server.Ip).c_str(), Server.Port);
+  Broken = false;
+}
+
+void HttpChannel::State::close() {
+  if (Connection)
+    evhttp_connection_free(Connection);
+  Connection = nullptr;
+}
+
+void HttpChannel::State::onDone(evhttp_request *Request, void *Self) {
+  auto &S = *static_cast<State *>(Self);
+  if (!S.OnDone)
+    return;
+  const Done OnDone = std::exchange(S.OnDone, nullptr);
+  const int Status = Request ? evhttp_request_get_response_code(Request) : 0;
+  if (Status == 0) {
+    S.Broken = true;
+    OnDone(tl::unexpected(HttpFailure{Request ? "no answer" : "timed out"}));
+    return;
+  }
+  HttpResponse Response;
+  Response.Status = Status;
+  Response.Body = bodyOf(evhttp_request_get_input_buffer(Request));
+  OnDone(std::move(Response));
+}
+
+HttpChannel::HttpChannel(event_base *Base, Endpoint Server)
+    : State_(std::make_unique<State>()) {
+  State_->Base = Base;
+  State_->Server = Server;
+}
+
+HttpChannel::~HttpChannel() { abandon(); }
+
+bool HttpChannel::busy() const { return State_->OnDone != nullptr; }
+
+Endpoint HttpChannel::server() const { return State_->Server; }
+
+void HttpChannel::abandon() {
+  State_->OnDone = nullptr;
+  State_->close();
+}
+
+void HttpChannel::request(const HttpRequest &Request, Duration Timeout,
+                          Done OnDone) {
+  State_->open();
+  State_->OnDone = std::move(OnDone);
+  const timeval Limit = toTimeval(Timeout);
+  evhttp_connection_set_timeout_tv(State_->Connection, &Limit);
+  evhttp_request *R = evhttp_request_new(&State::onDone, State_.get());
+  evkeyvalq *Headers = evhttp_request_get_output_headers(R);
+  evhttp_add_header(Headers, "Host", toString(State_->Server).c_str());
+  if (!Request.Body.empty()) {
+    evhttp_add_header(Headers, "Content-Type", "application/json");
+    evbuffer_add(evhttp_request_get_output_buffer(R), Request.Body.data(),
+                 Request.Body.size());
+  }
+  evhttp_make_request(State_->Connection, R, commandOf(Request.Method),
+                      Request.Target.c_str());
+  bufferevent *Buffer = evhttp_connection_get_bufferevent(State_->Connection);
+  if (const int Socket = bufferevent_getfd(Buffer); Socket >= 0)
+    detectSilence(Socket);
+}
+
+struct HttpServer::State {
+  evhttp *Http = nullptr;
+  Handler OnRequest;
+
+  static void onRequest(evhttp_request *Request, void *Self);
+};
+
+void HttpServer::State::onRequest(evhttp_request *Request, void *Self) {
+  HttpRequest Decoded;
+  switch (evhttp_request_get_command(Request)) {
+  case EVHTTP_REQ_POST:
+    Decoded.Method = HttpMethod::Post;
+    break;
+  case EVHTTP_REQ_PUT:
+    Decoded.Method = HttpMethod::Put;
+    break;
+  case EVHTTP_REQ_DELETE:
+    Decoded.Method = HttpMethod::Delete;
+    break;
+  default:
+    break;
+  }
+  Decoded.Target = evhttp_request_get_uri(Request);
+  Decoded.Body = bodyOf(evhttp_request_get_input_buffer(Request));
+  const HttpResponse Response = static_cast<State *>(Self)->OnRequest(Decoded);
+  evhttp_add_header(evhttp_request_get_output_headers(Request), "Content-Type",
+                    Response.ContentType.c_str());
+  evbuffer *Body = evbuffer_new();
+  evbuffer_add(Body, Response.Body.data(), Response.Body.size());
+  evhttp_send_reply(Request, Response.Status, nullptr, Body);
+  evbuffer_free(Body);
+}
+
+HttpServer::HttpServer(event_base *Base, Handler OnRequest)
+    : State_(std::make_unique<State>()) {
+  State_->Http = evhttp_new(Base);
+  State_->OnRequest = std::move(OnRequest);
+  evhttp_set_timeout(State_->Http, ServerIdleSeconds);
+  evhttp_set_gencb(State_->Http, &State::onRequest, State_.get());
+}
+
+HttpServer::~HttpServer() { evhttp_free(State_->Http); }
+
+bool HttpServer::listen(Endpoint Local) {
+  return evhttp_bind_socket(State_->Http, textOf(Local.Ip).c_str(),
+                            Local.Port) == 0;
+}
+
+} // namespace dragonflystall
--- /dev/null
+++ b/src/shell/http.h
@@ -0,0 +1,93 @@
+// HTTP/1.1 client and server on one event loop, over libevent.
+#ifndef DRAGONFLYSTALL_SRC_SHELL_HTTP_H
+#define DRAGONFLYSTALL_SRC_SHELL_HTTP_H
+
+#include "dragonflystall/types.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <tl/expected.hpp>
+
+struct event_base;
+
+namespace dragonflystall {
+
+enum class HttpMethod : uint8_t { Get, Post, Put, Delete };
+constexpr std::array<std::string_view, 4> HttpMethodNames = {"GET", "POST",
+                                                             "PUT", "DELETE"};
+constexpr std::string_view name(HttpMethod M) {
+  return HttpMethodNames[static_cast<size_t>(M)];
+}
+
+struct HttpRequest {
+  HttpMethod Method = HttpMethod::Get;
+  std::string Target; ///< Path and query.
+  std::string Body;   ///< JSON, or empty.
+};
+
+constexpr std::string_view JsonContent = "application/json";
+
+struct HttpResponse {
+  int Status = 0;
+  std::string Body;
+  std::string ContentType;
+};
+
+/// An empty JSON object.
+inline HttpResponse emptyAnswer(int Status) {
+  return {Status, "{}", std::string(JsonContent)};
+}
+
+/// The request may or may not have been carried out.
+struct HttpFailure {
+  std::string Text;
+};
+
+/// One connection to one server, with one request at a time. A connection that
+/// failed is replaced by the next request.
+class HttpChannel {
+public:
+  using Done = std::function<void(tl::expected<HttpResponse, HttpFailure>)>;
+
+  HttpChannel(event_base *Base, Endpoint Server);
+  ~HttpChannel();
+  HttpChannel(const HttpChannel &) = delete;
+  HttpChannel &operator=(const HttpChannel &) = delete;
+
+  bool busy() const;
+  /// Calls OnDone from the loop, never before it returns.
+  void request(const HttpRequest &Request, Duration Timeout, Done OnDone);
+  /// Drops the connection and the request on it; its callback is not called.
+  void abandon();
+  Endpoint server() const;
+
+private:
+  struct State;
+  std::unique_ptr<State> State_;
+};
+
+/// Serves any number of addresses from one handler.
+class HttpServer {
+public:
+  using Handler = std::function<HttpResponse(const HttpRequest &)>;
+
+  HttpServer(event_base *Base, Handler OnRequest);
+  ~HttpServer();
+  HttpServer(const HttpServer &) = delete;
+  HttpServer &operator=(const HttpServer &) = delete;
+
+  /// Returns whether the address could be bound.
+  bool listen(Endpoint Local);
+
+private:
+  struct State;
+  std::unique_ptr<State> State_;
+};
+
+/// A path without its query.
+std::string pathOf(const std::string &Target);
+
+} // namespace dragonflystall
+
+#endif
