Ask all agents who holds an unknown flow

An agent knows from its own table; only one that started after its upstream can't tell, and is offered the packets. All deny: a reset, if the list of agents is complete.

Ruled out: skipping agents that are stopping, which leaves those that are killed.

--- a/src/node/agent.cpp
+++ b/src/node/agent.cpp
@@ -36,7 +36,7 @@
       Upstream_({Initial.Upstream, Initial.Zone, Initial.AddressReuseAfter,
                  Initial.ColdFactor, Initial.ColdSlack},
                 config(), Shared_.now()),
-      Gate_(config(), Upstream_, Initial.Service, MostFlows),
+      Gate_(config(), Upstream_, Initial.Service, MostFlows, Shared_.now()),
       Registration_(Shared_.Rng()),
       StoreChannel_(Shared_.Base.get(), Initial.Store),
       Malformed_(Shared_.Counts.counter({"dragonflystall_packets_malformed",
@@ -122,7 +122,8 @@
     FromBalancers_->send(Action.Balancer, Bytes);
   if (Action.TellHolder)
     sendControl({Action.Balancer.Ip, Settings_.PeerControl.Port},
-                opaque::Holds{Settings_.Name, Head->toCaller()});
+                opaque::Located{Settings_.Name, Head->toCaller(),
+                                opaque::Holding::Holds});
 }
 
 HttpResponse Agent::onRequest(const HttpRequest &Request) {
@@ -212,6 +213,9 @@
 
 void Agent::onControl(const opaque::ControlMessage &Message, Endpoint From,
                       TimePoint Now) {
+  if (const auto *F = std::get_if<opaque::Find>(&Message))
+    return sendControl(From, opaque::Located{Settings_.Name, F->Flow,
+                                             Gate_.holding(F->Flow, Now)});
   const auto *P = std::get_if<opaque::Ping>(&Message);
   if (!P || P->Name != Settings_.Name)
     return;
--- a/src/node/balancer.cpp
+++ b/src/node/balancer.cpp
@@ -40,6 +40,7 @@
                      .number("revision", Listed_.revision());
                  Page_.clear();
                  AgentsKnown_ = true;
+                 Steering_.onAgentsListed(Shared_.now());
                },
                [this](const platform::Changes &C) {
                  for (const platform::Change &Event : C.Events)
@@ -93,22 +94,24 @@
   if (!Head)
     return Malformed_.add();
   const TimePoint Now = Shared_.now();
-  carryOut(Steering_.fromCaller(*Head, Now), *Head, Bytes, Now);
+  carryOut(Steering_.fromCaller(*Head, Bytes, Now), *Head, Bytes, Now);
 }
 
-void Balancer::onReturnedDatagram(Endpoint, std::string_view Bytes) {
+void Balancer::onReturnedDatagram(Endpoint From, std::string_view Bytes) {
   const auto Head = platform::decodeHead(Bytes);
   if (!Head)
     return Malformed_.add();
   const TimePoint Now = Shared_.now();
-  carryOut(Steering_.returned(*Head, Now), *Head, Bytes, Now);
+  carryOut(Steering_.returned(*Head, Bytes, From, Now), *Head, Bytes, Now);
 }
 
 void Balancer::carryOut(const SteerAction &Action,
                         const opaque::PacketHead &Head, std::string_view Bytes,
                         TimePoint Now) {
   Steered_[static_cast<size_t>(Action.Why)]->add();
-  if (Action.Why != opaque::SteerReason::Held)
+  const bool Waits =
+      Action.What == SteerAction::Kind::Ask && Action.Asked.empty();
+  if (Action.Why != opaque::SteerReason::Held && !Waits)
     logAction(Action, Head, Now);
   if (Action.What == SteerAction::Kind::Reset) {
     const opaque::FlowId Flow = Head.fromCaller();
@@ -116,6 +119,8 @@
     FromCallers_->send({Flow.Caller.Ip, Settings_.Packets.Port},
                        {Packet.data(), Packet.size()});
   }
+  for (const opaque::Agent *Asked : Action.Asked)
+    sendControl(Asked->Entry.Control, opaque::Find{Head.fromCaller()});
   if (Action.What != SteerAction::Kind::Forward)
     return;
   std::array<char, MaxDatagramBytes> Copy;
@@ -126,6 +131,12 @@
   ToAgents_->send(Action.To->Entry.Packets, {Packet.data(), Packet.size()});
 }
 
+void Balancer::carryOut(const std::vector<opaque::LateAction> &Actions,
+                        TimePoint Now) {
+  for (const opaque::LateAction &Late : Actions)
+    carryOut(Late.Action, Late.Packet.Head, Late.Packet.Bytes, Now);
+}
+
 void Balancer::logAction(const SteerAction &Action,
                          const opaque::PacketHead &Head, TimePoint Now) {
   const LogClass Class = Action.Why == opaque::SteerReason::Placed
@@ -134,6 +145,7 @@
   auto Line = Shared_.log(
       Class, Action.What == SteerAction::Kind::Reset  ? "flow-reset"
              : Action.What == SteerAction::Kind::Drop ? "packet-dropped"
+             : Action.What == SteerAction::Kind::Ask  ? "flow-searched"
                                                       : "flow-steered");
   Line.text("flow", toString(Head.fromCaller()))
       .text("reason", name(Action.Why))
@@ -162,11 +174,8 @@
           .text("state", name(P->State));
     Agents_.onPong(*P, Now);
     Config_.onPeerKnows(P->Knows, P->Http, Now);
-  } else if (const auto *H = std::get_if<opaque::Holds>(&Message)) {
-    Steering_.onHolds(*H, Now);
-    Shared_.log(LogClass::Notable, "flow-found")
-        .text("flow", toString(H->Flow))
-        .text("agent", H->Name);
+  } else if (const auto *L = std::get_if<opaque::Located>(&Message)) {
+    carryOut(Steering_.onLocated(*L, Now), Now);
   } else if (const auto *New = std::get_if<opaque::Hello>(&Message)) {
     Agents_.hear(New->Entry, Now);
   }
@@ -244,7 +253,7 @@
     if (Shared_.Rng() % 8 == 0)
       removeDead(Now);
   }
-  Steering_.tick(Now);
+  carryOut(Steering_.tick(Now), Now);
   if (stopping() && Now >= ExitAt_)
     finish();
 }
--- a/src/node/balancer.h
+++ b/src/node/balancer.h
@@ -26,6 +26,7 @@
   void carryOut(const opaque::SteerAction &Action,
                 const opaque::PacketHead &Head, std::string_view Bytes,
                 TimePoint Now);
+  void carryOut(const std::vector<opaque::LateAction> &Actions, TimePoint Now);
   void logAction(const opaque::SteerAction &Action,
                  const opaque::PacketHead &Head, TimePoint Now);
   void ping(TimePoint Now);
--- a/src/opaque/control.cpp
+++ b/src/opaque/control.cpp
@@ -10,7 +10,7 @@
 
 using Json = nlohmann::json;
 
-enum class Kind : uint8_t { Ping = 1, Pong, Holds, Hello };
+enum class Kind : uint8_t { Ping = 1, Pong, Find, Located, Hello };
 
 Json toJson(Endpoint E) { return uint64_t{E.Ip} << 16 | E.Port; }
 Json toJson(const Knowledge &K) {
@@ -27,8 +27,12 @@
   return {Kind::Pong, P.Name,  P.Service,   P.Number, toJson(P.Knows),
           P.State,    P.Slots, P.OpenFlows, P.Busy,   toJson(P.Http)};
 }
-Json toJson(const Holds &H) {
-  return {Kind::Holds, H.Name, toJson(H.Flow.Caller), toJson(H.Flow.Route)};
+Json toJson(const Find &F) {
+  return {Kind::Find, toJson(F.Flow.Caller), toJson(F.Flow.Route)};
+}
+Json toJson(const Located &L) {
+  return {Kind::Located, L.Name, toJson(L.Flow.Caller), toJson(L.Flow.Route),
+          L.Verdict};
 }
 Json toJson(const Hello &H) { return {Kind::Hello, toJson(H.Entry)}; }
 
@@ -107,12 +111,22 @@
   return P;
 }
 
-Holds readHolds(Reader &R) {
-  Holds H;
-  H.Name = R.text();
-  H.Flow.Caller = R.endpoint();
-  H.Flow.Route = R.endpoint();
-  return H;
+FlowId readFlow(Reader &R) {
+  FlowId Flow;
+  Flow.Caller = R.endpoint();
+  Flow.Route = R.endpoint();
+  return Flow;
+}
+
+Located readLocated(Reader &R) {
+  Located L;
+  L.Name = R.text();
+  L.Flow = readFlow(R);
+  const auto Verdict = R.number<uint8_t>();
+  if (Verdict >= HoldingNames.size())
+    throw Json::out_of_range::create(406, "no verdict", nullptr);
+  L.Verdict = static_cast<Holding>(Verdict);
+  return L;
 }
 
 } // namespace
@@ -152,8 +166,10 @@
       return readPing(R);
     case Kind::Pong:
       return readPong(R);
-    case Kind::Holds:
-      return readHolds(R);
+    case Kind::Find:
+      return Find{readFlow(R)};
+    case Kind::Located:
+      return readLocated(R);
     case Kind::Hello:
       return Hello{R.entry()};
     }
--- a/src/opaque/control.h
+++ b/src/opaque/control.h
@@ -82,10 +82,28 @@
   Endpoint Http;
 };
 
-/// Agent to balancer: packets of this flow are to come to me.
-struct Holds {
+/// Balancer to agent: does your upstream hold this flow?
+struct Find {
+  FlowId Flow;
+};
+
+enum class Holding : uint8_t {
+  Holds,  ///< The upstream has answered on the flow.
+  Denies, ///< The upstream does not hold it.
+  Unsure, ///< Only the upstream can tell: offer it a packet.
+};
+constexpr std::array<std::string_view, 3> HoldingNames = {"holds", "denies",
+                                                          "unsure"};
+constexpr std::string_view name(Holding H) {
+  return HoldingNames[static_cast<size_t>(H)];
+}
+
+/// Agent to balancer: the answer to Find; also unasked, when a flow turns out
+/// to be held where its balancer did not expect it.
+struct Located {
   std::string Name;
   FlowId Flow;
+  Holding Verdict = Holding::Unsure;
 };
 
 /// Agent to a seed: I can't be listed in the store at the moment.
@@ -93,7 +111,7 @@
   AgentEntry Entry;
 };
 
-using ControlMessage = std::variant<Ping, Pong, Holds, Hello>;
+using ControlMessage = std::variant<Ping, Pong, Find, Located, Hello>;
 
 std::string encode(const ControlMessage &Message);
 /// std::nullopt for anything that is no such message.
--- a/src/opaque/directory.cpp
+++ b/src/opaque/directory.cpp
@@ -20,12 +20,6 @@
 /// Keeps balancers with the same view from all choosing the same agent.
 constexpr double JitterCost = 0.15;
 
-uint64_t mixed(uint64_t Hash, AgentId Id) {
-  uint64_t X = Hash ^ (static_cast<uint64_t>(Id) * 0x9e3779b97f4a7c15ULL);
-  X = (X ^ (X >> 31)) * 0xbf58476d1ce4e5b9ULL;
-  return X ^ (X >> 29);
-}
-
 bool takesFlows(Intake State) {
   return State == Intake::Open || State == Intake::Cold;
 }
@@ -111,7 +105,6 @@
     ById_[A->Id] = A.get();
     ByService_[A->Entry.Service].push_back(A.get());
   }
-  ++Generation_;
 }
 
 Agent *Directory::find(AgentId Id) {
@@ -124,9 +117,10 @@
   return It == Agents_.end() ? nullptr : It->second.get();
 }
 
-size_t Directory::countOf(const std::string &Service) const {
+const std::vector<Agent *> &Directory::of(const std::string &Service) const {
+  static const std::vector<Agent *> None;
   const auto It = ByService_.find(Service);
-  return It == ByService_.end() ? 0 : It->second.size();
+  return It == ByService_.end() ? None : It->second;
 }
 
 bool Directory::suspect(const Agent &A, TimePoint Now) const {
@@ -151,12 +145,9 @@
 
 Agent *Directory::choose(const std::string &Service, uint32_t Tried,
                          TimePoint Now) {
-  const auto It = ByService_.find(Service);
-  if (It == ByService_.end())
-    return nullptr;
   Agent *Best = nullptr;
   std::pair<Tier, double> BestCost;
-  for (Agent *A : It->second) {
+  for (Agent *A : of(Service)) {
     if (Tried & triedBit(*A))
       continue;
     Tier Level = Tier::Taking;
@@ -173,21 +164,6 @@
   return Best;
 }
 
-Agent *Directory::inOrder(const std::string &Service, uint64_t FlowHash,
-                          uint32_t Position) {
-  const auto It = ByService_.find(Service);
-  if (It == ByService_.end() || Position >= It->second.size())
-    return nullptr;
-  std::vector<Agent *> Order = It->second;
-  const auto Less = [FlowHash](const Agent *A, const Agent *B) {
-    const uint64_t Left = mixed(FlowHash, A->Id);
-    const uint64_t Right = mixed(FlowHash, B->Id);
-    return Left != Right ? Left < Right : A->Id < B->Id;
-  };
-  std::nth_element(Order.begin(), Order.begin() + Position, Order.end(), Less);
-  return Order[Position];
-}
-
 std::vector<const Agent *> Directory::removable(TimePoint Now) const {
   std::vector<const Agent *> Result;
   size_t Answering = 0;
--- a/src/opaque/directory.h
+++ b/src/opaque/directory.h
@@ -73,13 +73,8 @@
   /// Tried (see triedBit); nullptr when none is left.
   Agent *choose(const std::string &Service, uint32_t Tried, TimePoint Now);
   static uint32_t triedBit(const Agent &A);
-  /// The agent at a position of the order in which a flow is looked for;
-  /// nullptr behind the last.
-  Agent *inOrder(const std::string &Service, uint64_t FlowHash,
-                 uint32_t Position);
-  /// Changes with each change of the membership.
-  uint16_t generation() const { return Generation_; }
-  size_t countOf(const std::string &Service) const;
+  /// All agents of a service.
+  const std::vector<Agent *> &of(const std::string &Service) const;
   /// Listed agents whose entries should be removed: silent for RemoveAfter
   /// while other agents answer.
   std::vector<const Agent *> removable(TimePoint Now) const;
@@ -96,7 +91,6 @@
   // Both follow Agents_; rebuild() renews them.
   std::unordered_map<AgentId, Agent *> ById_;
   std::map<std::string, std::vector<Agent *>> ByService_;
-  uint16_t Generation_ = 0;
 };
 
 } // namespace dragonflystall::opaque
--- a/src/opaque/gate.cpp
+++ b/src/opaque/gate.cpp
@@ -87,6 +87,8 @@
   F.LastUsed = Now;
   if (Head.PayloadBytes > 0 || Head.Fin || Head.Reset)
     setBusy(F, false, Now);
+  if (!Head.Syn && !Head.Reset)
+    F.Confirmed = true;
   if (F.Searched && !Head.Reset) {
     F.Searched = false;
     Action.Balancer = F.Balancer;
@@ -95,6 +97,15 @@
   return Action;
 }
 
+Holding Gate::holding(const FlowId &Flow, TimePoint Now) const {
+  const auto It = Flows_.find(hashOf(Flow));
+  if (It != Flows_.end())
+    return It->second.Confirmed ? Holding::Holds : Holding::Unsure;
+  // A flow that has been idle for longer may be given up.
+  const bool SeesAll = Now - SeesAllSince_ > Config_.manifest().FlowIdleTimeout;
+  return SeesAll ? Holding::Denies : Holding::Unsure;
+}
+
 void Gate::averageBusy(TimePoint Now) {
   const double Share =
       std::exp(-std::chrono::duration<double>(Now - AveragedAt_) /
@@ -120,6 +131,8 @@
   averageBusy(Now);
   Flows_.clear();
   BusyFlows_ = 0;
+  // It can hold no flow that was not seen here.
+  SeesAllSince_ = TimePoint::min();
 }
 
 void Gate::tick(TimePoint Now) {
--- a/src/opaque/gate.h
+++ b/src/opaque/gate.h
@@ -4,6 +4,7 @@
 #ifndef DRAGONFLYSTALL_SRC_OPAQUE_GATE_H
 #define DRAGONFLYSTALL_SRC_OPAQUE_GATE_H
 
+#include "opaque/control.h"
 #include "opaque/trail.h"
 #include "opaque/upstream.h"
 
@@ -47,8 +48,9 @@
 class Gate {
 public:
   Gate(const Configuration &Config, Upstream &Beside, std::string Service,
-       size_t MostFlows)
-      : Config_(Config), Upstream_(Beside), Service_(std::move(Service)) {
+       size_t MostFlows, TimePoint Started)
+      : Config_(Config), Upstream_(Beside), Service_(std::move(Service)),
+        SeesAllSince_(Started) {
     Flows_.reserve(MostFlows / 4);
   }
 
@@ -57,6 +59,8 @@
                           TimePoint Now);
   /// A packet that the upstream sent.
   GateAction fromUpstream(const PacketHead &Head, TimePoint Now);
+  /// Whether the upstream holds a flow, as far as the agent can tell.
+  Holding holding(const FlowId &Flow, TimePoint Now) const;
   /// Call regularly: forgets idle flows.
   void tick(TimePoint Now);
   /// The upstream started anew: it holds none of these flows.
@@ -75,6 +79,7 @@
     Endpoint Balancer;     ///< The last one that sent a packet of the flow.
     bool Busy = false;     ///< Its caller has sent data and no answer came yet.
     bool Searched = false; ///< The balancer does not know that it is here.
+    bool Confirmed = false; ///< The upstream has answered on the open flow.
     TimePoint LastUsed{};
   };
 
@@ -92,6 +97,8 @@
   double BusyAverage_ = 0;
   TimePoint AveragedAt_{};
   TimePoint SweptAt_{};
+  /// Every flow that was used since then is in Flows_, if it is open.
+  TimePoint SeesAllSince_;
 };
 
 } // namespace dragonflystall::opaque
--- a/src/opaque/steering.cpp
+++ b/src/opaque/steering.cpp
@@ -9,28 +9,37 @@
 
 /// A new flow is offered to at most so many agents before it is refused.
 constexpr int MostOffers = 6;
-
-SteerAction drop(SteerReason Why) {
-  return {SteerAction::Kind::Drop, Why, nullptr, {}, 0};
+/// Agents that the store does not list at the moment make themselves known
+/// within this time.
+constexpr Duration SettledAfter = 5s;
+
+SteerAction make(SteerAction::Kind What, SteerReason Why) {
+  SteerAction Action;
+  Action.What = What;
+  Action.Why = Why;
+  return Action;
 }
 
+SteerAction drop(SteerReason Why) { return make(SteerAction::Kind::Drop, Why); }
+
 /// A caller whose flow is not open takes any reset; one whose flow is open, a
 /// copy of whose SYN came late, takes this for an old packet.
 SteerAction refuse(SteerReason Why) {
-  return {SteerAction::Kind::Reset, Why, nullptr, {}, 0};
+  return make(SteerAction::Kind::Reset, Why);
 }
 
 /// For a flow that was open: the sequence that its caller expects.
 SteerAction breakOff(const PacketHead &Head) {
-  return {SteerAction::Kind::Reset,
-          SteerReason::NotFound,
-          nullptr,
-          {},
-          Head.Acknowledged};
+  SteerAction Action = make(SteerAction::Kind::Reset, SteerReason::NotFound);
+  Action.ResetSequence = Head.Acknowledged;
+  return Action;
 }
 
-SteerAction forward(SteerReason Why, const Agent &To, Trail Way) {
-  return {SteerAction::Kind::Forward, Why, &To, Way, 0};
+SteerAction forward(SteerReason Why, const Agent &To, Trail::Mode How) {
+  SteerAction Action = make(SteerAction::Kind::Forward, Why);
+  Action.To = &To;
+  Action.Way.How = How;
+  return Action;
 }
 
 } // namespace
@@ -40,33 +49,25 @@
       .count();
 }
 
-void Steering::tick(TimePoint Now) {
-  Cache_.setIdleTimeout(std::chrono::duration_cast<std::chrono::seconds>(
-                            Config_.manifest().FlowIdleTimeout)
-                            .count());
-  Cache_.sweep(seconds(Now));
-}
-
-SteerAction Steering::fromCaller(const PacketHead &Head, TimePoint Now) {
+SteerAction Steering::fromCaller(const PacketHead &Head, std::string_view Bytes,
+                                 TimePoint Now) {
   if (Head.Bounced || (Head.Syn && Head.Ack))
     return drop(SteerReason::Stray);
   if (!Config_.known())
     return drop(SteerReason::NoManifest);
   const uint64_t Hash = hashOf(Head.fromCaller());
   Agent *Holder = Agents_.find(Cache_.find(Hash, seconds(Now)));
-  if (Head.opens()) {
-    // A copy means that the agent has not answered in time: try another one.
-    // Should both take it, the caller's next packet decides.
-    if (!Holder || Head.Acknowledged == 0)
-      return place(Head, 0, Now);
-    ++Holder->Unanswered;
-    return place(Head, Directory::triedBit(*Holder), Now);
+  if (!Head.opens()) {
+    if (!Holder)
+      return search(Head, Bytes, Now);
+    return forward(SteerReason::Held, *Holder, Trail::Mode::Held);
   }
-  if (!Holder)
-    return search(Head, 0, /*Incomplete=*/false, Now);
-  Trail Way;
-  Way.How = Trail::Mode::Held;
-  return forward(SteerReason::Held, *Holder, Way);
+  // A copy means that the agent has not answered in time: try another one.
+  // Should both take it, the caller's next packet decides.
+  if (!Holder || Head.Acknowledged == 0)
+    return place(Head, 0, Now);
+  ++Holder->Unanswered;
+  return place(Head, Directory::triedBit(*Holder), Now);
 }
 
 SteerAction Steering::place(const PacketHead &Head, uint32_t Tried,
@@ -81,57 +82,120 @@
     return refuse(SteerReason::NoUpstream);
   ++Best->SentSince;
   Cache_.store(hashOf(Head.fromCaller()), Best->Id, seconds(Now));
-  Trail Way;
-  Way.How = Trail::Mode::Place;
-  Way.Hops = Tried | Directory::triedBit(*Best);
-  return forward(Tried ? SteerReason::PlacedAgain : SteerReason::Placed, *Best,
-                 Way);
+  SteerAction Action =
+      forward(Tried ? SteerReason::PlacedAgain : SteerReason::Placed, *Best,
+              Trail::Mode::Place);
+  Action.Way.Tried = Tried | Directory::triedBit(*Best);
+  return Action;
 }
 
-SteerAction Steering::search(const PacketHead &Head, uint32_t Position,
-                             bool Incomplete, TimePoint Now) {
-  const std::string *Service = Config_.manifest().serviceOf(Head.Destination);
-  if (!Service)
-    return drop(SteerReason::NoRoute);
-  const uint64_t Hash = hashOf(Head.fromCaller());
-  for (; Position < Trail::MostHops; ++Position) {
-    Agent *Next = Agents_.inOrder(*Service, Hash, Position);
-    if (!Next)
-      break;
-    if (Agents_.suspect(*Next, Now)) {
-      Incomplete = true;
-      continue;
-    }
-    Trail Way;
-    Way.How = Trail::Mode::Search;
-    Way.Hops = Position;
-    Way.Generation = Agents_.generation();
-    Way.Incomplete = Incomplete;
-    return forward(SteerReason::Searched, *Next, Way);
+SteerAction Steering::search(const PacketHead &Head, std::string_view Bytes,
+                             TimePoint Now) {
+  const FlowId Flow = Head.fromCaller();
+  Search *S = Searches_.find(hashOf(Flow));
+  const bool New = !S;
+  if (New) {
+    const std::string *Service = Config_.manifest().serviceOf(Flow.Route);
+    if (!Service)
+      return drop(SteerReason::NoRoute);
+    S = Searches_.start(Flow, *Service, Agents_, Now);
   }
-  if (Incomplete || Position == 0)
+  if (!S)
     return drop(SteerReason::Lost);
-  return breakOff(Head);
+  Searches::wait(*S, Head, Bytes);
+  SteerAction Action = make(SteerAction::Kind::Ask, SteerReason::Asked);
+  if (New)
+    for (AgentId Id : S->Open)
+      Action.Asked.push_back(Agents_.find(Id));
+  return Action;
 }
 
-SteerAction Steering::returned(const PacketHead &Head, TimePoint Now) {
+SteerAction Steering::returned(const PacketHead &Head, std::string_view Bytes,
+                               Endpoint From, TimePoint Now) {
   const Trail Way = Trail::decode(Head.Echo);
-  if (Head.opens() && Way.How == Trail::Mode::Place)
-    return place(Head, Way.Hops, Now);
-  if (Head.opens() || Way.How == Trail::Mode::None)
-    return drop(SteerReason::Stray);
+  if (Head.opens())
+    return Way.How == Trail::Mode::Place ? place(Head, Way.Tried, Now)
+                                         : drop(SteerReason::Stray);
+  const uint64_t Hash = hashOf(Head.fromCaller());
   if (Way.How == Trail::Mode::Held) {
-    Cache_.erase(hashOf(Head.fromCaller()));
-    return search(Head, 0, /*Incomplete=*/false, Now);
+    Cache_.erase(Hash);
+    return search(Head, Bytes, Now);
   }
-  if (Way.Generation != Agents_.generation())
-    return drop(SteerReason::Stale);
-  return search(Head, Way.Hops + 1, Way.Incomplete || Way.Refused, Now);
+  Search *S = Searches_.find(Hash);
+  if (Way.How != Trail::Mode::Search || !S)
+    return drop(SteerReason::Stray);
+  // The upstream itself has denied it, unless the agent did not ask.
+  if (Way.Refused)
+    S->Incomplete = true;
+  std::erase_if(S->Unsure, [&](AgentId Id) {
+    const Agent *A = Agents_.find(Id);
+    return !A || A->Entry.Packets == From;
+  });
+  if (!S->denied())
+    return drop(SteerReason::Asked);
+  const SteerAction Action =
+      complete(*S, Now) ? breakOff(Head) : drop(SteerReason::Lost);
+  Searches_.erase(Hash);
+  return Action;
 }
 
-void Steering::onHolds(const Holds &Message, TimePoint Now) {
-  if (const Agent *A = Agents_.find(Message.Name))
-    Cache_.store(hashOf(Message.Flow), A->Id, seconds(Now));
+bool Steering::complete(const Search &S, TimePoint Now) const {
+  return !S.Incomplete && ListedAt_ && Now - *ListedAt_ > SettledAfter;
+}
+
+std::vector<LateAction> Steering::concluded(Search &S, TimePoint Now) {
+  std::vector<LateAction> Actions;
+  if (!S.denied())
+    return Actions;
+  const HeldPacket &Last = S.Waiting.back();
+  Actions.push_back(
+      {complete(S, Now) ? breakOff(Last.Head) : drop(SteerReason::Lost), Last});
+  Searches_.erase(hashOf(S.Flow));
+  return Actions;
+}
+
+std::vector<LateAction> Steering::onLocated(const Located &Message,
+                                            TimePoint Now) {
+  std::vector<LateAction> Actions;
+  const Agent *From = Agents_.find(Message.Name);
+  const uint64_t Hash = hashOf(Message.Flow);
+  Search *S = Searches_.find(Hash);
+  if (!From)
+    return Actions;
+  if (Message.Verdict == Holding::Holds) {
+    Cache_.store(Hash, From->Id, seconds(Now));
+    if (!S)
+      return Actions;
+    for (HeldPacket &Packet : S->Waiting)
+      Actions.push_back({forward(SteerReason::Found, *From, Trail::Mode::Held),
+                         std::move(Packet)});
+    Searches_.erase(Hash);
+    return Actions;
+  }
+  if (!S || std::erase(S->Open, From->Id) == 0)
+    return Actions;
+  if (Message.Verdict == Holding::Denies)
+    return concluded(*S, Now);
+  S->Unsure.push_back(From->Id);
+  Actions.push_back({forward(SteerReason::Offered, *From, Trail::Mode::Search),
+                     S->Waiting.back()});
+  return Actions;
+}
+
+void Steering::onAgentsListed(TimePoint Now) {
+  if (!ListedAt_)
+    ListedAt_ = Now;
+}
+
+std::vector<LateAction> Steering::tick(TimePoint Now) {
+  Cache_.setIdleTimeout(std::chrono::duration_cast<std::chrono::seconds>(
+                            Config_.manifest().FlowIdleTimeout)
+                            .count());
+  Cache_.sweep(seconds(Now));
+  std::vector<LateAction> Actions;
+  for (Search &S : Searches_.expire(Now))
+    Actions.push_back({drop(SteerReason::Lost), std::move(S.Waiting.back())});
+  return Actions;
 }
 
 } // namespace dragonflystall::opaque
--- a/src/opaque/steering.h
+++ b/src/opaque/steering.h
@@ -4,8 +4,7 @@
 #ifndef DRAGONFLYSTALL_SRC_OPAQUE_STEERING_H
 #define DRAGONFLYSTALL_SRC_OPAQUE_STEERING_H
 
-#include "opaque/directory.h"
-#include "opaque/manifest.h"
+#include "opaque/search.h"
 #include "opaque/trail.h"
 #include "steering/flowcache.h"
 
@@ -16,34 +15,46 @@
   Placed,      ///< A new flow, to the best agent.
   PlacedAgain, ///< A new flow that another agent did not take.
   Held,        ///< To the holder in the cache.
-  Searched,    ///< To the next agent that may hold it.
+  Asked,       ///< It waits until the agents have said who holds it.
+  Found,       ///< To the holder that was just found.
+  Offered,     ///< To an agent that can't tell whether its upstream holds it.
   NoManifest,  ///< Nothing is known yet.
   NoRoute,     ///< No such route.
   NoUpstream,  ///< No agent is left that could take the flow.
-  NotFound,    ///< All upstreams of the service deny the flow.
-  Lost,        ///< Not found, but not everybody could be asked.
-  Stale,       ///< The search began before the membership changed.
+  NotFound,    ///< All agents of the service deny the flow.
+  Lost,        ///< Not found, but not everybody has answered.
   Stray,       ///< Not a caller's packet.
 };
-constexpr std::array<std::string_view, 11> SteerReasonNames = {
-    "placed",      "placed-again", "held",        "searched",
-    "no-manifest", "no-route",     "no-upstream", "not-found",
-    "lost",        "stale",        "stray"};
+constexpr std::array<std::string_view, 12> SteerReasonNames = {
+    "placed",      "placed-again", "held",        "asked",
+    "found",       "offered",      "no-manifest", "no-route",
+    "no-upstream", "not-found",    "lost",        "stray"};
 constexpr std::string_view name(SteerReason R) {
   return SteerReasonNames[static_cast<size_t>(R)];
 }
 
 /// What is to become of one packet.
 struct SteerAction {
-  enum class Kind : uint8_t { Forward, Reset, Drop };
+  enum class Kind : uint8_t {
+    Forward, ///< Send it to the agent.
+    Ask,     ///< Send Find to all of Asked; the packet waits in the core.
+    Reset,   ///< Send the caller a reset.
+    Drop,
+  };
 
   Kind What = Kind::Drop;
   SteerReason Why = SteerReason::Stray;
-  /// Forward: the agent.
   const Agent *To = nullptr;
   Trail Way;
   /// Reset: one that the caller takes for its own flow.
   uint32_t ResetSequence = 0;
+  std::vector<const Agent *> Asked;
+};
+
+/// An action on a packet that has waited.
+struct LateAction {
+  SteerAction Action;
+  HeldPacket Packet;
 };
 
 class Steering {
@@ -54,26 +65,35 @@
         Started_(Started) {}
 
   /// A caller's packet.
-  SteerAction fromCaller(const PacketHead &Head, TimePoint Now);
-  /// A packet that an agent returned.
-  SteerAction returned(const PacketHead &Head, TimePoint Now);
-  /// An agent says that it holds a flow.
-  void onHolds(const Holds &Message, TimePoint Now);
-  /// Call regularly: ages the cache.
-  void tick(TimePoint Now);
+  SteerAction fromCaller(const PacketHead &Head, std::string_view Bytes,
+                         TimePoint Now);
+  /// A packet that an agent returned. From: the agent's address.
+  SteerAction returned(const PacketHead &Head, std::string_view Bytes,
+                       Endpoint From, TimePoint Now);
+  std::vector<LateAction> onLocated(const Located &Message, TimePoint Now);
+  /// Call regularly: ages the cache and ends searches.
+  std::vector<LateAction> tick(TimePoint Now);
+  /// The list of agents was read from the store in full: before that, that
+  /// all known agents deny a flow proves nothing.
+  void onAgentsListed(TimePoint Now);
 
   size_t cachedFlows() const { return Cache_.size(); }
 
 private:
   SteerAction place(const PacketHead &Head, uint32_t Tried, TimePoint Now);
-  SteerAction search(const PacketHead &Head, uint32_t Position, bool Incomplete,
+  SteerAction search(const PacketHead &Head, std::string_view Bytes,
                      TimePoint Now);
+  /// Ends the search when all agents deny the flow.
+  std::vector<LateAction> concluded(Search &S, TimePoint Now);
+  bool complete(const Search &S, TimePoint Now) const;
   FlowCache::Seconds seconds(TimePoint Now) const;
 
   const Configuration &Config_;
   Directory &Agents_;
   FlowCache Cache_;
+  Searches Searches_;
   TimePoint Started_;
+  std::optional<TimePoint> ListedAt_;
 };
 
 } // namespace dragonflystall::opaque
--- a/src/opaque/trail.h
+++ b/src/opaque/trail.h
@@ -13,42 +13,26 @@
     None,   ///< Not sent by a balancer.
     Place,  ///< A SYN on its way to an agent that takes it.
     Held,   ///< To the agent that holds the flow, as the balancer recalls.
-    Search, ///< To each agent of the service in turn.
+    Search, ///< To an agent that can't tell whether its upstream holds it.
   };
 
   Mode How = Mode::None;
   /// The agent turned the packet away without asking its upstream.
   bool Refused = false;
-  /// An agent was left out or did not ask its upstream: that nobody holds the
-  /// flow is not proved.
-  bool Incomplete = false;
-  /// Place: agents tried, one bit each. Search: the position in the order.
-  uint32_t Hops = 0;
-  /// Search: the low bits of the membership's generation.
-  uint16_t Generation = 0;
+  /// Place: the agents that were tried, one bit each; see Directory::triedBit.
+  uint32_t Tried = 0;
 
   static constexpr unsigned TriedBits = 28;
-  static constexpr unsigned HopBits = 12;
-  static constexpr uint32_t MostHops = (1u << HopBits) - 1;
 
   uint32_t encode() const {
-    const uint32_t Low = static_cast<uint32_t>(How) | uint32_t{Refused} << 2 |
-                         uint32_t{Incomplete} << 3;
-    if (How == Mode::Search)
-      return Low | (Hops & MostHops) << 4 | uint32_t{Generation} << 16;
-    return Low | Hops << 4;
+    return static_cast<uint32_t>(How) | uint32_t{Refused} << 2 | Tried << 4;
   }
 
   static Trail decode(uint32_t Echo) {
     Trail T;
     T.How = static_cast<Mode>(Echo & 3);
     T.Refused = Echo & 4;
-    T.Incomplete = Echo & 8;
-    T.Hops = Echo >> 4;
-    if (T.How == Mode::Search) {
-      T.Hops &= MostHops;
-      T.Generation = Echo >> 16;
-    }
+    T.Tried = Echo >> 4;
     return T;
   }
 
