Queue new flows until an upstream has room, and bound what waits at one

Cause: after a loss of power all upstreams are cold, bear 5 new flows a second for 2 s, and callers use up their three tries on resets within 30 ms; at the end all come at once and upstreams answer 503 from full queues.

Change: a balancer keeps a new flow when an upstream will be warm within 3/4 of the route's timeout; an agent admits by requests in progress (3 a slot; 1 a slot for flows that have waited, so that newcomers are still in time). A cold upstream's budget is whole at its first heartbeat. Agents watch the store serializably, at a tenth of the price: balancers tell them what comes late.

--- a/src/node/agent.cpp
+++ b/src/node/agent.cpp
@@ -32,7 +32,10 @@
 } // namespace
 
 Agent::Agent(const Settings &Initial, SettingsReader Read)
-    : Process(Initial, std::move(Read), "agent"),
+    // There are many agents: they watch at a tenth of the cost, and balancers
+    // tell them of what such a watch brings late.
+    : Process(Initial, std::move(Read), "agent",
+              platform::Consistency::Serializable),
       Upstream_({Initial.Upstream, Initial.Zone, Initial.AddressReuseAfter,
                  Initial.ColdFactor, Initial.ColdSlack},
                 config(), Shared_.now()),
@@ -190,6 +193,7 @@
   P.Number = Number;
   P.Knows = knowledgeOf(config());
   P.State = intake(Now);
+  P.ColdFor = Upstream_.coldFor(Now);
   P.Slots = Upstream_.slots();
   P.OpenFlows = Gate_.openFlows();
   P.Busy = Gate_.busy(Now);
@@ -205,6 +209,7 @@
       .text("state", name(State))
       .text("before", name(Reported_))
       .text("upstream", Upstream_.id())
+      .number("cold_limit", Upstream_.coldLimit())
       .number("manifest", config().manifest().Version);
   Reported_ = State;
   for (const Asker &A : Askers_)
--- a/src/node/balancer.cpp
+++ b/src/node/balancer.cpp
@@ -22,10 +22,12 @@
 } // namespace
 
 Balancer::Balancer(const Settings &Initial, SettingsReader Read)
-    : Process(Initial, std::move(Read), "balancer"),
+    : Process(Initial, std::move(Read), "balancer",
+              platform::Consistency::Linearizable),
       Agents_(Initial.Zone, Shared_.Rng()),
       Steering_(config(), Agents_, CachedFlows, Shared_.now()),
       Listed_(Shared_, Health_, Initial.Store, platform::ObjectKind::Agent,
+              platform::Consistency::Linearizable,
               {[this](const platform::Page &P, bool First) {
                  if (First)
                    Page_.clear();
--- a/src/node/configsource.cpp
+++ b/src/node/configsource.cpp
@@ -18,9 +18,9 @@
 
 ConfigSource::ConfigSource(Services &Shared, StoreHealth &Health,
                            Endpoint Store, std::vector<Endpoint> Seeds,
-                           Handler OnNews)
+                           platform::Consistency Watches, Handler OnNews)
     : Shared_(Shared), OnNews_(std::move(OnNews)),
-      Manifests_(Shared, Health, Store, platform::ObjectKind::Manifest,
+      Manifests_(Shared, Health, Store, platform::ObjectKind::Manifest, Watches,
                  {[this](const platform::Page &P, bool) {
                     onManifests(P.Objects, "store");
                   },
@@ -33,7 +33,7 @@
                     onManifests(Objects, "store");
                   }}),
       Evacuations_(
-          Shared, Health, Store, platform::ObjectKind::Evacuation,
+          Shared, Health, Store, platform::ObjectKind::Evacuation, Watches,
           {[this](const platform::Page &P, bool First) {
              if (First)
                ListedZones_.clear();
--- a/src/node/configsource.h
+++ b/src/node/configsource.h
@@ -18,7 +18,8 @@
   };
 
   ConfigSource(Services &Shared, StoreHealth &Health, Endpoint Store,
-               std::vector<Endpoint> Seeds, Handler OnNews);
+               std::vector<Endpoint> Seeds, platform::Consistency Watches,
+               Handler OnNews);
 
   const opaque::Configuration &config() const { return Config_; }
   /// The evacuations are known from the store or from a peer.
--- a/src/node/kindfollower.cpp
+++ b/src/node/kindfollower.cpp
@@ -33,9 +33,10 @@
 
 KindFollower::KindFollower(Services &Shared, StoreHealth &Health,
                            Endpoint Store, platform::ObjectKind Kind,
-                           Handler OnNews)
-    : Shared_(Shared), Health_(Health), Kind_(Kind), OnNews_(std::move(OnNews)),
-      Channel_(Shared.Base.get(), Store), Watch_(Shared.Rng()) {}
+                           platform::Consistency Watches, Handler OnNews)
+    : Shared_(Shared), Health_(Health), Kind_(Kind), Watches_(Watches),
+      OnNews_(std::move(OnNews)), Channel_(Shared.Base.get(), Store),
+      Watch_(Shared.Rng()) {}
 
 void KindFollower::poll(TimePoint Now) {
   const auto Due = Watch_.next(Now);
@@ -44,16 +45,18 @@
   Health_.onCall();
   if (Due->WatchFrom) {
     Channel_.request(platform::watchCall(Kind_, *Due->WatchFrom,
-                                         opaque::StoreWatch::WatchWait),
+                                         opaque::StoreWatch::WatchWait,
+                                         Watches_),
                      opaque::StoreWatch::WatchWait + WatchMargin,
                      [this](const Answer &Result) { onWatchAnswer(Result); });
     return;
   }
-  Channel_.request(platform::listCall(Kind_, Due->After), ListTimeout,
+  Channel_.request(platform::listCall(Kind_, Due->After, Lists_), ListTimeout,
                    [this](const Answer &Result) { onListAnswer(Result); });
 }
 
 void KindFollower::restart() {
+  Lists_ = platform::Consistency::Linearizable;
   Channel_.abandon();
   Watch_.restart();
 }
@@ -77,8 +80,10 @@
       Page->Objects.empty() ? std::string() : Page->Objects.back().Name;
   Watch_.onPage(Page->Revision, Page->Truncated && !Last.empty(), Last);
   OnNews_.OnPage(*Page, First);
-  if (Watch_.listed())
+  if (Watch_.listed()) {
+    Lists_ = platform::Consistency::Serializable;
     OnNews_.OnListed();
+  }
   poll(Shared_.now());
 }
 
@@ -89,6 +94,7 @@
     Shared_.log(LogClass::State, "watch-history-gone")
         .text("kind", name(Kind_))
         .number("revision", Watch_.revision());
+    Lists_ = platform::Consistency::Linearizable;
     Watch_.restart();
     return;
   }
--- a/src/node/kindfollower.h
+++ b/src/node/kindfollower.h
@@ -37,7 +37,8 @@
   };
 
   KindFollower(Services &Shared, StoreHealth &Health, Endpoint Store,
-               platform::ObjectKind Kind, Handler OnNews);
+               platform::ObjectKind Kind, platform::Consistency Watches,
+               Handler OnNews);
 
   /// Makes the call that is due, if any.
   void poll(TimePoint Now);
@@ -55,6 +56,10 @@
   Services &Shared_;
   StoreHealth &Health_;
   platform::ObjectKind Kind_;
+  platform::Consistency Watches_;
+  /// A watch brings an old list up to date at once; only when its history is
+  /// gone must the list itself be fresh.
+  platform::Consistency Lists_ = platform::Consistency::Serializable;
   Handler OnNews_;
   HttpChannel Channel_;
   opaque::StoreWatch Watch_;
--- a/src/opaque/control.cpp
+++ b/src/opaque/control.cpp
@@ -13,6 +13,9 @@
 enum class Kind : uint8_t { Ping = 1, Pong, Find, Located, Hello };
 
 Json toJson(Endpoint E) { return uint64_t{E.Ip} << 16 | E.Port; }
+Json toJson(Duration Time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
+}
 Json toJson(const Knowledge &K) {
   return {K.ManifestVersion, K.EvacuationRevision, K.EvacuatedZones};
 }
@@ -24,8 +27,9 @@
           toJson(P.Knows), P.MissingAsOf, toJson(P.Http)};
 }
 Json toJson(const Pong &P) {
-  return {Kind::Pong, P.Name,  P.Service,   P.Number, toJson(P.Knows),
-          P.State,    P.Slots, P.OpenFlows, P.Busy,   toJson(P.Http)};
+  return {Kind::Pong,      P.Name,  P.Service,         P.Number,
+          toJson(P.Knows), P.State, toJson(P.ColdFor), P.Slots,
+          P.OpenFlows,     P.Busy,  toJson(P.Http)};
 }
 Json toJson(const Find &F) {
   return {Kind::Find, toJson(F.Flow.Caller), toJson(F.Flow.Route)};
@@ -104,6 +108,7 @@
   if (State >= IntakeNames.size())
     throw Json::out_of_range::create(406, "no intake state", nullptr);
   P.State = static_cast<Intake>(State);
+  P.ColdFor = std::chrono::milliseconds(R.number<uint32_t>());
   P.Slots = std::max<uint32_t>(1, R.number<uint32_t>());
   P.OpenFlows = R.number<uint32_t>();
   P.Busy = R.next().get<double>();
--- a/src/opaque/control.h
+++ b/src/opaque/control.h
@@ -75,6 +75,9 @@
   uint64_t Number = 0; ///< Of the ping; 0 when unasked.
   Knowledge Knows;
   Intake State = Intake::Unready;
+  /// How long the upstream stays cold, in whole milliseconds; 0 when it is not
+  /// cold, or when that is not known.
+  Duration ColdFor{};
   uint32_t Slots = 1;
   uint32_t OpenFlows = 0;
   /// Requests in progress, averaged over the last second.
--- a/src/opaque/directory.cpp
+++ b/src/opaque/directory.cpp
@@ -164,6 +164,37 @@
   return Best;
 }
 
+std::optional<TimePoint> Directory::nextRoom(const std::string &Service,
+                                             TimePoint Now) const {
+  std::optional<TimePoint> Next;
+  for (const Agent *A : of(Service)) {
+    if (!A->everAnswered() || suspect(*A, Now))
+      continue;
+    const bool Warming =
+        A->Last.State == Intake::Cold && A->Last.ColdFor > Duration::zero();
+    if (!Warming && A->Last.State != Intake::Open)
+      continue;
+    const TimePoint At = Warming ? A->LastPong + A->Last.ColdFor : Now;
+    Next = std::min(Next.value_or(At), At);
+  }
+  return Next;
+}
+
+size_t Directory::slotsOf(const std::string &Service) const {
+  size_t Slots = 0;
+  for (const Agent *A : of(Service))
+    Slots += A->Last.Slots;
+  return Slots;
+}
+
+size_t Directory::openSlotsOf(const std::string &Service, TimePoint Now) const {
+  size_t Slots = 0;
+  for (const Agent *A : of(Service))
+    if (A->everAnswered() && A->Last.State == Intake::Open && !suspect(*A, Now))
+      Slots += A->Last.Slots;
+  return Slots;
+}
+
 std::vector<const Agent *> Directory::removable(TimePoint Now) const {
   std::vector<const Agent *> Result;
   size_t Answering = 0;
--- a/src/opaque/directory.h
+++ b/src/opaque/directory.h
@@ -75,6 +75,13 @@
   static uint32_t triedBit(const Agent &A);
   /// All agents of a service.
   const std::vector<Agent *> &of(const std::string &Service) const;
+  /// When an agent of a service should have room: now if one is open, else when
+  /// the next cold one will be warm; std::nullopt when neither is known.
+  std::optional<TimePoint> nextRoom(const std::string &Service,
+                                    TimePoint Now) const;
+  /// Slots of all agents of a service, and of those that are open.
+  size_t slotsOf(const std::string &Service) const;
+  size_t openSlotsOf(const std::string &Service, TimePoint Now) const;
   /// Listed agents whose entries should be removed: silent for RemoveAfter
   /// while other agents answer.
   std::vector<const Agent *> removable(TimePoint Now) const;
--- a/src/opaque/gate.cpp
+++ b/src/opaque/gate.cpp
@@ -9,6 +9,15 @@
 
 constexpr Duration AverageOver = 1s;
 constexpr Duration SweepInterval = 1s;
+/// A caller that has not sent its request so long after its SYN has opened its
+/// flow elsewhere.
+constexpr Duration OpeningLength = 300ms;
+/// A request that has no answer for so long was lost, or was answered before
+/// this agent started.
+constexpr Duration BusyLength = 2s;
+/// Requests in progress and waiting for each slot: what waits is worked off
+/// within twice the length of a request.
+constexpr uint32_t MostPerSlot = 3;
 
 GateAction toUpstream(GateReason Why) {
   return {GateAction::Kind::ToUpstream, Why, {}, {}, false};
@@ -25,23 +34,55 @@
 
 GateAction Gate::open(const PacketHead &Head, Endpoint Balancer,
                       TimePoint Now) {
-  const std::string *Service = Config_.manifest().serviceOf(Head.Destination);
-  if (!Service)
+  const Route *Route = Config_.manifest().routeAt(Head.Destination);
+  if (!Route)
     return refuse(Head, Balancer, GateReason::NoRoute);
-  if (*Service != service())
+  if (Route->Service != service())
     return refuse(Head, Balancer, GateReason::WrongService);
   if (!Upstream_.admits(Now))
     return refuse(Head, Balancer,
                   Upstream_.intake(Now) == Intake::Cold
                       ? GateReason::OverBudget
                       : GateReason::NotTaking);
+  if (!roomFor(Trail::decode(Head.Echo)))
+    return refuse(Head, Balancer, GateReason::Full);
   Upstream_.onSynPassed(Now);
-  Flow &F = Flows_[hashOf(Head.fromCaller())];
+  const uint64_t Hash = hashOf(Head.fromCaller());
+  Flow &F = Flows_[Hash];
   F.Balancer = Balancer;
   F.LastUsed = Now;
+  setBusy(F, true, Now);
+  Openings_.push_back({Hash, Now});
   return toUpstream(GateReason::Admitted);
 }
 
+bool Gate::newData(Flow &F, const PacketHead &Head) {
+  if (Head.PayloadBytes == 0)
+    return false;
+  const uint32_t Behind = Head.Sequence + Head.PayloadBytes;
+  // A copy of a request that was answered starts nothing.
+  const bool New =
+      !F.HasData || static_cast<int32_t>(Behind - F.NextSequence) > 0;
+  F.HasData = true;
+  if (New)
+    F.NextSequence = Behind;
+  return New;
+}
+
+bool Gate::roomFor(const Trail &Way) const {
+  const uint32_t Limit = Upstream_.slots() * (Way.Waited ? 1 : MostPerSlot);
+  return BusyFlows_ < Limit;
+}
+
+void Gate::endOpenings(TimePoint Now) {
+  for (; !Openings_.empty() && Now - Openings_.front().PassedAt > OpeningLength;
+       Openings_.pop_front()) {
+    const auto It = Flows_.find(Openings_.front().Hash);
+    if (It != Flows_.end() && !It->second.Confirmed && !It->second.HasData)
+      setBusy(It->second, false, Now);
+  }
+}
+
 GateAction Gate::fromBalancer(const PacketHead &Head, Endpoint Balancer,
                               TimePoint Now) {
   const Trail Way = Trail::decode(Head.Echo);
@@ -49,15 +90,15 @@
     return {};
   if (Head.opens())
     return open(Head, Balancer, Now);
-  const std::string *Service = Config_.manifest().serviceOf(Head.Destination);
-  if (Service && *Service != service())
+  const Route *Route = Config_.manifest().routeAt(Head.Destination);
+  if (Route && Route->Service != service())
     return refuse(Head, Balancer, GateReason::WrongService);
   Flow &F = Flows_[hashOf(Head.fromCaller())];
   if (Way.How == Trail::Mode::Search)
     F.Searched = true;
   F.Balancer = Balancer;
   F.LastUsed = Now;
-  if (Head.PayloadBytes > 0)
+  if (newData(F, Head))
     setBusy(F, true, Now);
   return toUpstream(GateReason::Passed);
 }
@@ -119,6 +160,7 @@
     return;
   averageBusy(Now);
   F.Busy = Busy;
+  F.BusySince = Now;
   BusyFlows_ += Busy ? 1 : -1;
 }
 
@@ -130,16 +172,20 @@
 void Gate::forgetFlows(TimePoint Now) {
   averageBusy(Now);
   Flows_.clear();
+  Openings_.clear();
   BusyFlows_ = 0;
   // It can hold no flow that was not seen here.
   SeesAllSince_ = TimePoint::min();
 }
 
 void Gate::tick(TimePoint Now) {
+  endOpenings(Now);
   if (Now - SweptAt_ < SweepInterval)
     return;
   SweptAt_ = Now;
   for (auto It = Flows_.begin(); It != Flows_.end();) {
+    if (Now - It->second.BusySince > BusyLength)
+      setBusy(It->second, false, Now);
     if (Now - It->second.LastUsed < Config_.manifest().FlowIdleTimeout) {
       ++It;
       continue;
--- a/src/opaque/gate.h
+++ b/src/opaque/gate.h
@@ -8,6 +8,7 @@
 #include "opaque/trail.h"
 #include "opaque/upstream.h"
 
+#include <deque>
 #include <optional>
 #include <unordered_map>
 
@@ -22,11 +23,12 @@
   WrongService, ///< Refused: the route belongs to another service.
   NotTaking,    ///< Refused: see the intake state.
   OverBudget,   ///< Refused: the upstream is cold and has had its share.
+  Full,         ///< Refused: enough requests wait for the upstream.
   Stray,        ///< Not a packet that a balancer may send.
 };
-constexpr std::array<std::string_view, 9> GateReasonNames = {
+constexpr std::array<std::string_view, 10> GateReasonNames = {
     "admitted",      "passed",     "answered",    "bounced", "no-route",
-    "wrong-service", "not-taking", "over-budget", "stray"};
+    "wrong-service", "not-taking", "over-budget", "full",    "stray"};
 constexpr std::string_view name(GateReason R) {
   return GateReasonNames[static_cast<size_t>(R)];
 }
@@ -78,14 +80,22 @@
   struct Flow {
     Endpoint Balancer;     ///< The last one that sent a packet of the flow.
     bool Busy = false;     ///< Its caller has sent data and no answer came yet.
+    bool HasData = false;  ///< Its caller has sent data.
     bool Searched = false; ///< The balancer does not know that it is here.
-    bool Confirmed = false; ///< The upstream has answered on the open flow.
+    bool Confirmed = false;    ///< The upstream has answered on the open flow.
+    uint32_t NextSequence = 0; ///< Behind its caller's data so far.
+    TimePoint BusySince{};
     TimePoint LastUsed{};
   };
 
   GateAction open(const PacketHead &Head, Endpoint Balancer, TimePoint Now);
   GateAction refuse(const PacketHead &Head, Endpoint Balancer, GateReason Why);
   GateAction bounced(const PacketHead &Head, TimePoint Now);
+  /// Returns whether the packet has data that was not seen before.
+  static bool newData(Flow &F, const PacketHead &Head);
+  /// Whether the upstream has room for one more new flow.
+  bool roomFor(const Trail &Way) const;
+  void endOpenings(TimePoint Now);
   void setBusy(Flow &F, bool Busy, TimePoint Now);
   void averageBusy(TimePoint Now);
 
@@ -94,6 +104,11 @@
   std::string Service_; ///< By the settings, until the upstream says its own.
   std::unordered_map<uint64_t, Flow> Flows_;
   uint32_t BusyFlows_ = 0; ///< Flows with Busy set.
+  struct Opening {
+    uint64_t Hash;
+    TimePoint PassedAt;
+  };
+  std::deque<Opening> Openings_; ///< SYNs passed lately, oldest first.
   double BusyAverage_ = 0;
   TimePoint AveragedAt_{};
   TimePoint SweptAt_{};
--- a/src/opaque/manifest.h
+++ b/src/opaque/manifest.h
@@ -24,17 +24,22 @@
   double PerSecond = 0;
 };
 
+struct Route {
+  std::string Service; ///< Where new flows go.
+  /// How long a caller waits for the answer to a request; 0 when not given.
+  Duration Timeout{};
+  uint32_t Priority = 0; ///< 0 is the most urgent.
+};
+
 struct Manifest {
   int64_t Version = 0;
-  /// Names of the services that a route's new flows may go to; the first is
-  /// the one that is used.
-  std::unordered_map<Endpoint, std::string, EndpointHash> Routes;
+  std::unordered_map<Endpoint, Route, EndpointHash> Routes;
   std::map<std::string, WarmUp> Services;
   Duration FlowIdleTimeout = 15s;
 
-  /// The service of a route, or nullptr when there is no such route.
-  const std::string *serviceOf(Endpoint Route) const {
-    const auto It = Routes.find(Route);
+  /// nullptr when there is no such route.
+  const Route *routeAt(Endpoint Address) const {
+    const auto It = Routes.find(Address);
     return It == Routes.end() ? nullptr : &It->second;
   }
 };
--- /dev/null
+++ b/src/opaque/openqueue.cpp
@@ -0,0 +1,69 @@
+// New flows that wait for an upstream.
+#include "opaque/openqueue.h"
+
+#include <algorithm>
+#include <set>
+
+namespace dragonflystall::opaque {
+
+size_t OpenQueue::sizeOf(const std::string &Service) const {
+  return std::count_if(Waiting_.begin(), Waiting_.end(),
+                       [&](const Entry &E) { return E.Service == Service; });
+}
+
+std::vector<std::string> OpenQueue::services() const {
+  std::set<std::string> Names;
+  for (const Entry &E : Waiting_)
+    Names.insert(E.Service);
+  return {Names.begin(), Names.end()};
+}
+
+bool OpenQueue::add(const PacketHead &Head, std::string_view Bytes,
+                    const Route &Route, size_t MostOfService, TimePoint Now) {
+  if (sizeOf(Route.Service) >= MostOfService)
+    return false;
+  Waiting_.push_back({hashOf(Head.fromCaller()),
+                      Route.Service,
+                      Route.Priority,
+                      Now + AttemptLength,
+                      {Head, std::string(Bytes)}});
+  return true;
+}
+
+bool OpenQueue::refresh(uint64_t Hash, const PacketHead &Head,
+                        std::string_view Bytes) {
+  const auto It = std::find_if(Waiting_.begin(), Waiting_.end(),
+                               [&](const Entry &E) { return E.Hash == Hash; });
+  if (It == Waiting_.end())
+    return false;
+  It->Packet = {Head, std::string(Bytes)};
+  return true;
+}
+
+std::vector<HeldPacket> OpenQueue::take(const std::string &Service,
+                                        size_t Count) {
+  std::vector<uint64_t> Chosen;
+  std::vector<const Entry *> Candidates;
+  for (const Entry &E : Waiting_)
+    if (E.Service == Service)
+      Candidates.push_back(&E);
+  std::stable_sort(
+      Candidates.begin(), Candidates.end(),
+      [](const Entry *A, const Entry *B) { return A->Priority < B->Priority; });
+  Candidates.resize(std::min(Count, Candidates.size()));
+  std::vector<HeldPacket> Taken;
+  for (const Entry *E : Candidates) {
+    Taken.push_back(E->Packet);
+    Chosen.push_back(E->Hash);
+  }
+  std::erase_if(Waiting_, [&](const Entry &E) {
+    return std::find(Chosen.begin(), Chosen.end(), E.Hash) != Chosen.end();
+  });
+  return Taken;
+}
+
+void OpenQueue::expire(TimePoint Now) {
+  std::erase_if(Waiting_, [Now](const Entry &E) { return Now > E.Ends; });
+}
+
+} // namespace dragonflystall::opaque
--- a/src/opaque/packet.h
+++ b/src/opaque/packet.h
@@ -44,6 +44,12 @@
   FlowId toCaller() const { return {Destination, Source}; }
 };
 
+/// A caller's packet that waits.
+struct HeldPacket {
+  PacketHead Head;
+  std::string Bytes;
+};
+
 } // namespace dragonflystall::opaque
 
 #endif
--- a/src/opaque/search.h
+++ b/src/opaque/search.h
@@ -8,12 +8,6 @@
 
 namespace dragonflystall::opaque {
 
-/// A caller's packet that waits.
-struct HeldPacket {
-  PacketHead Head;
-  std::string Bytes;
-};
-
 /// One flow that is being looked for.
 struct Search {
   FlowId Flow;
--- a/src/opaque/steering.cpp
+++ b/src/opaque/steering.cpp
@@ -12,6 +12,15 @@
 /// Agents that the store does not list at the moment make themselves known
 /// within this time.
 constexpr Duration SettledAfter = 5s;
+/// A new flow waits for an upstream that will be warm within this share of its
+/// caller's timeout; the rest is for the request itself.
+constexpr double PatienceShare = 0.75;
+/// What waits at one balancer for each slot of a service: with several
+/// balancers, what its upstreams work off in a fraction of a second.
+constexpr size_t QueuedPerSlot = 4;
+/// Each tick, a balancer tries one of its waiting flows for so many slots of
+/// the service.
+constexpr size_t SlotsPerRelease = 3;
 
 SteerAction make(SteerAction::Kind What, SteerReason Why) {
   SteerAction Action;
@@ -62,43 +71,76 @@
       return search(Head, Bytes, Now);
     return forward(SteerReason::Held, *Holder, Trail::Mode::Held);
   }
+  if (Queue_.refresh(Hash, Head, Bytes))
+    return drop(SteerReason::Queued);
   // A copy means that the agent has not answered in time: try another one.
   // Should both take it, the caller's next packet decides.
   if (!Holder || Head.Acknowledged == 0)
-    return place(Head, 0, Now);
+    return place(Head, Bytes, {}, Now);
   ++Holder->Unanswered;
-  return place(Head, Directory::triedBit(*Holder), Now);
+  Trail Way;
+  Way.Tried = Directory::triedBit(*Holder);
+  return place(Head, Bytes, Way, Now);
 }
 
-SteerAction Steering::place(const PacketHead &Head, uint32_t Tried,
-                            TimePoint Now) {
-  const std::string *Service = Config_.manifest().serviceOf(Head.Destination);
-  if (!Service)
+SteerAction Steering::place(const PacketHead &Head, std::string_view Bytes,
+                            Trail Way, TimePoint Now) {
+  const Route *Route = Config_.manifest().routeAt(Head.Destination);
+  if (!Route)
     return refuse(SteerReason::NoRoute);
   Agent *Best = nullptr;
-  if (std::popcount(Tried) < MostOffers)
-    Best = Agents_.choose(*Service, Tried, Now);
+  if (std::popcount(Way.Tried) < MostOffers)
+    Best = Agents_.choose(Route->Service, Way.Tried, Now);
   if (!Best)
-    return refuse(SteerReason::NoUpstream);
+    return queueOrRefuse(Head, Bytes, *Route, Now);
   ++Best->SentSince;
   Cache_.store(hashOf(Head.fromCaller()), Best->Id, seconds(Now));
   SteerAction Action =
-      forward(Tried ? SteerReason::PlacedAgain : SteerReason::Placed, *Best,
+      forward(Way.Tried ? SteerReason::PlacedAgain : SteerReason::Placed, *Best,
               Trail::Mode::Place);
-  Action.Way.Tried = Tried | Directory::triedBit(*Best);
+  Action.Way.Waited = Way.Waited;
+  Action.Way.Tried = Way.Tried | Directory::triedBit(*Best);
   return Action;
 }
 
+SteerAction Steering::queueOrRefuse(const PacketHead &Head,
+                                    std::string_view Bytes, const Route &Route,
+                                    TimePoint Now) {
+  const auto RoomAt = Agents_.nextRoom(Route.Service, Now);
+  const Duration Patience =
+      std::chrono::duration_cast<Duration>(PatienceShare * Route.Timeout);
+  if (!RoomAt || *RoomAt - Now > Patience)
+    return refuse(SteerReason::NoUpstream);
+  const size_t Room = QueuedPerSlot * Agents_.slotsOf(Route.Service);
+  if (!Queue_.add(Head, Bytes, Route, Room, Now))
+    return refuse(SteerReason::NoUpstream);
+  return drop(SteerReason::Queued);
+}
+
+void Steering::release(const std::string &Service,
+                       std::vector<LateAction> &Actions, TimePoint Now) {
+  if (Queue_.sizeOf(Service) == 0)
+    return;
+  const size_t Slots = Agents_.openSlotsOf(Service, Now);
+  const size_t Count = (Slots + SlotsPerRelease - 1) / SlotsPerRelease;
+  Trail Way;
+  Way.Waited = true;
+  for (HeldPacket &Packet : Queue_.take(Service, Count)) {
+    SteerAction Action = place(Packet.Head, Packet.Bytes, Way, Now);
+    Actions.push_back({std::move(Action), std::move(Packet)});
+  }
+}
+
 SteerAction Steering::search(const PacketHead &Head, std::string_view Bytes,
                              TimePoint Now) {
   const FlowId Flow = Head.fromCaller();
   Search *S = Searches_.find(hashOf(Flow));
   const bool New = !S;
   if (New) {
-    const std::string *Service = Config_.manifest().serviceOf(Flow.Route);
-    if (!Service)
+    const Route *Route = Config_.manifest().routeAt(Flow.Route);
+    if (!Route)
       return drop(SteerReason::NoRoute);
-    S = Searches_.start(Flow, *Service, Agents_, Now);
+    S = Searches_.start(Flow, Route->Service, Agents_, Now);
   }
   if (!S)
     return drop(SteerReason::Lost);
@@ -114,7 +156,7 @@
                                Endpoint From, TimePoint Now) {
   const Trail Way = Trail::decode(Head.Echo);
   if (Head.opens())
-    return Way.How == Trail::Mode::Place ? place(Head, Way.Tried, Now)
+    return Way.How == Trail::Mode::Place ? place(Head, Bytes, Way, Now)
                                          : drop(SteerReason::Stray);
   const uint64_t Hash = hashOf(Head.fromCaller());
   if (Way.How == Trail::Mode::Held) {
@@ -195,6 +237,9 @@
   std::vector<LateAction> Actions;
   for (Search &S : Searches_.expire(Now))
     Actions.push_back({drop(SteerReason::Lost), std::move(S.Waiting.back())});
+  Queue_.expire(Now);
+  for (const std::string &Service : Queue_.services())
+    release(Service, Actions, Now);
   return Actions;
 }
 
--- a/src/opaque/steering.h
+++ b/src/opaque/steering.h
@@ -4,6 +4,7 @@
 #ifndef DRAGONFLYSTALL_SRC_OPAQUE_STEERING_H
 #define DRAGONFLYSTALL_SRC_OPAQUE_STEERING_H
 
+#include "opaque/openqueue.h"
 #include "opaque/search.h"
 #include "opaque/trail.h"
 #include "steering/flowcache.h"
@@ -15,6 +16,7 @@
   Placed,      ///< A new flow, to the best agent.
   PlacedAgain, ///< A new flow that another agent did not take.
   Held,        ///< To the holder in the cache.
+  Queued,      ///< A new flow that waits until an upstream has room.
   Asked,       ///< It waits until the agents have said who holds it.
   Found,       ///< To the holder that was just found.
   Offered,     ///< To an agent that can't tell whether its upstream holds it.
@@ -25,10 +27,10 @@
   Lost,        ///< Not found, but not everybody has answered.
   Stray,       ///< Not a caller's packet.
 };
-constexpr std::array<std::string_view, 12> SteerReasonNames = {
-    "placed",      "placed-again", "held",        "asked",
-    "found",       "offered",      "no-manifest", "no-route",
-    "no-upstream", "not-found",    "lost",        "stray"};
+constexpr std::array<std::string_view, 13> SteerReasonNames = {
+    "placed",    "placed-again", "held",        "queued",   "asked",
+    "found",     "offered",      "no-manifest", "no-route", "no-upstream",
+    "not-found", "lost",         "stray"};
 constexpr std::string_view name(SteerReason R) {
   return SteerReasonNames[static_cast<size_t>(R)];
 }
@@ -77,10 +79,17 @@
   /// all known agents deny a flow proves nothing.
   void onAgentsListed(TimePoint Now);
 
+  size_t queuedFlows() const { return Queue_.size(); }
   size_t cachedFlows() const { return Cache_.size(); }
 
 private:
-  SteerAction place(const PacketHead &Head, uint32_t Tried, TimePoint Now);
+  SteerAction place(const PacketHead &Head, std::string_view Bytes, Trail Way,
+                    TimePoint Now);
+  SteerAction queueOrRefuse(const PacketHead &Head, std::string_view Bytes,
+                            const Route &Route, TimePoint Now);
+  /// Places flows that wait for agents of a service, as many as it can bear.
+  void release(const std::string &Service, std::vector<LateAction> &Actions,
+               TimePoint Now);
   SteerAction search(const PacketHead &Head, std::string_view Bytes,
                      TimePoint Now);
   /// Ends the search when all agents deny the flow.
@@ -92,6 +101,7 @@
   Directory &Agents_;
   FlowCache Cache_;
   Searches Searches_;
+  OpenQueue Queue_;
   TimePoint Started_;
   std::optional<TimePoint> ListedAt_;
 };
--- a/src/opaque/trail.h
+++ b/src/opaque/trail.h
@@ -19,19 +19,23 @@
   Mode How = Mode::None;
   /// The agent turned the packet away without asking its upstream.
   bool Refused = false;
+  /// Place: the flow has waited; those that have not go first.
+  bool Waited = false;
   /// Place: the agents that were tried, one bit each; see Directory::triedBit.
   uint32_t Tried = 0;
 
   static constexpr unsigned TriedBits = 28;
 
   uint32_t encode() const {
-    return static_cast<uint32_t>(How) | uint32_t{Refused} << 2 | Tried << 4;
+    return static_cast<uint32_t>(How) | uint32_t{Refused} << 2 |
+           uint32_t{Waited} << 3 | Tried << 4;
   }
 
   static Trail decode(uint32_t Echo) {
     Trail T;
     T.How = static_cast<Mode>(Echo & 3);
     T.Refused = Echo & 4;
+    T.Waited = Echo & 8;
     T.Tried = Echo >> 4;
     return T;
   }
--- a/src/opaque/upstream.cpp
+++ b/src/opaque/upstream.cpp
@@ -10,16 +10,16 @@
 
 /// Clocks are read and packets travel: close before the address can be reused.
 constexpr Duration ReuseMargin = 100ms;
-/// What an upstream says of its warm-up is older than its arrival.
-constexpr Duration ColdMargin = 200ms;
-/// Share of what a cold upstream bears that is used: the limit holds at the
-/// upstream, where packets may arrive closer together than they left.
-constexpr double ColdShare = 0.8;
+/// What an upstream says of its warm-up arrives late, which is on the safe
+/// side; this is for its rounding.
+constexpr Duration ColdMargin = 20ms;
 /// An upstream that answers no SYN for so long gets one at a time.
 constexpr Duration UnresponsiveAfter = 300ms;
 constexpr uint32_t UnresponsiveSyns = 3;
 constexpr Duration ProbeInterval = 250ms;
 
+constexpr int64_t FirstSequence = 1;
+
 } // namespace
 
 bool SlidingBudget::allows(uint32_t Limit, TimePoint Now) {
@@ -46,6 +46,10 @@
   if (SameStart)
     return HeartbeatVerdict::Taken;
   UnansweredSyns_ = 0;
+  // An agent that ran before this one has admitted nothing to this start, for
+  // it would have taken the first heartbeat.
+  if (Beat.Sequence <= FirstSequence)
+    Cold_.nothingBefore();
   return HeartbeatVerdict::TakenNewStart;
 }
 
@@ -107,7 +111,7 @@
   const auto It = Services.find(Beat_.Service);
   const double PerSecond = It == Services.end() ? 0 : It->second.PerSecond;
   const double Bears = PerSecond * Settings_.ColdFactor + Settings_.ColdSlack;
-  return std::max<uint32_t>(1, std::floor(ColdShare * Bears));
+  return std::max<uint32_t>(1, std::floor(Bears));
 }
 
 bool Upstream::admits(TimePoint Now) {
--- a/src/opaque/upstream.h
+++ b/src/opaque/upstream.h
@@ -6,6 +6,7 @@
 #include "opaque/control.h"
 #include "opaque/manifest.h"
 
+#include <algorithm>
 #include <deque>
 
 namespace dragonflystall::opaque {
@@ -42,11 +43,15 @@
 /// At most Limit events in any span of Window.
 class SlidingBudget {
 public:
-  static constexpr Duration Window = 1s;
+  /// A second, and a margin for packets that arrive closer together than they
+  /// were sent.
+  static constexpr Duration Window = 1100ms;
 
   /// Counts the whole budget as spent at this moment, for when it is not known
   /// what was spent before.
   void spendAll(TimePoint Now) { NothingBefore_ = Now + Window; }
+  /// Nothing was spent but what spend() has counted.
+  void nothingBefore() { NothingBefore_ = {}; }
   bool allows(uint32_t Limit, TimePoint Now);
   void spend(TimePoint Now) { Spent_.push_back(Now); }
 
@@ -91,6 +96,10 @@
   Intake intake(TimePoint Now) const;
   /// Whether one more new flow may be passed to it now.
   bool admits(TimePoint Now);
+  /// How long it stays cold, as far as it has said.
+  Duration coldFor(TimePoint Now) const {
+    return std::max(Duration::zero(), ColdUntil_ - Now);
+  }
   /// New flows a second while it is cold.
   uint32_t coldLimit() const;
 
