--- a/cli/admin.cpp
+++ b/cli/admin.cpp
@@ -1,7 +1,7 @@
 // Options and platform calls of the administration commands.
 #include "admin.h"
 
-#include "platform/pacing.h"
+#include "objectstore/pacing.h"
 
 #include <cstdlib>
 #include <fmt/format.h>
--- a/cli/admin.h
+++ b/cli/admin.h
@@ -4,8 +4,8 @@
 #define DRAGONFLYSTALL_CLI_ADMIN_H
 
 #include "command.h"
-#include "platform/client.h"
-#include "platform/objectwrite.h"
+#include "objectstore/client.h"
+#include "objectstore/objectwrite.h"
 
 #include <boost/program_options.hpp>
 #include <nlohmann/json.hpp>
--- a/src/agent/agentdaemon.h
+++ b/src/agent/agentdaemon.h
@@ -4,9 +4,9 @@
 #define DRAGONFLYSTALL_SRC_AGENT_AGENTDAEMON_H
 
 #include "agent/agentcore.h"
+#include "objectstore/link.h"
 #include "observe/admin.h"
 #include "observe/timeline.h"
-#include "platform/link.h"
 #include "requests/upstreamclient.h"
 #include "settings/hostsettings.h"
 #include "shell/loop.h"
--- a/src/node/agent.cpp
+++ b/src/node/agent.cpp
@@ -146,10 +146,11 @@
 HttpResponse Agent::onHeartbeat(const opaque::Heartbeat &Beat) {
   const TimePoint Now = Shared_.now();
   const opaque::HeartbeatVerdict Verdict = Upstream_.onHeartbeat(Beat, Now);
-  if (Verdict == opaque::HeartbeatVerdict::TakenNewStart) {
+  if (Verdict == opaque::HeartbeatVerdict::TakenNewStart)
     Gate_.forgetFlows(Now);
+  if (Verdict == opaque::HeartbeatVerdict::TakenNewStart ||
+      Verdict == opaque::HeartbeatVerdict::TakenRunning)
     wantEntry();
-  }
   if (Verdict != opaque::HeartbeatVerdict::Taken)
     Shared_.log(LogClass::State, "heartbeat")
         .text("upstream", Beat.Id)
@@ -218,9 +219,11 @@
 
 void Agent::onControl(const opaque::ControlMessage &Message, Endpoint From,
                       TimePoint Now) {
-  if (const auto *F = std::get_if<opaque::Find>(&Message))
-    return sendControl(From, opaque::Located{Settings_.Name, F->Flow,
-                                             Gate_.holding(F->Flow, Now)});
+  if (const auto *F = std::get_if<opaque::Find>(&Message)) {
+    if (const auto Verdict = Gate_.holding(F->Flow, Now))
+      sendControl(From, opaque::Located{Settings_.Name, F->Flow, *Verdict});
+    return;
+  }
   const auto *P = std::get_if<opaque::Ping>(&Message);
   if (!P || P->Name != Settings_.Name)
     return;
--- a/src/platform/client.cpp
+++ b/src/objectstore/client.cpp
@@ -1,7 +1,7 @@
 // The store's client on cpp-httplib.
-#include "platform/client.h"
+#include "objectstore/client.h"
 
-#include "platform/storejson.h"
+#include "objectstore/storejson.h"
 
 #include <fmt/format.h>
 #include <httplib.h>
--- a/src/platform/client.h
+++ b/src/objectstore/client.h
@@ -1,9 +1,9 @@
 // The store over HTTP/1.1. One object holds one connection and is used by one
 // thread; stop() alone may come from another.
-#ifndef DRAGONFLYSTALL_SRC_PLATFORM_CLIENT_H
-#define DRAGONFLYSTALL_SRC_PLATFORM_CLIENT_H
+#ifndef DRAGONFLYSTALL_SRC_OBJECTSTORE_CLIENT_H
+#define DRAGONFLYSTALL_SRC_OBJECTSTORE_CLIENT_H
 
-#include "platform/store.h"
+#include "objectstore/store.h"
 
 #include <memory>
 
--- a/src/platform/fakeplatform_test.h
+++ b/src/objectstore/fakeplatform_test.h
@@ -1,11 +1,11 @@
 // A platform with faults, and processes' link cores on it, in virtual time.
 // Everything that happens follows from one seed. What must hold is checked
 // while it runs.
-#ifndef DRAGONFLYSTALL_SRC_PLATFORM_FAKEPLATFORM_TEST_H
-#define DRAGONFLYSTALL_SRC_PLATFORM_FAKEPLATFORM_TEST_H
+#ifndef DRAGONFLYSTALL_SRC_OBJECTSTORE_FAKEPLATFORM_TEST_H
+#define DRAGONFLYSTALL_SRC_OBJECTSTORE_FAKEPLATFORM_TEST_H
 
-#include "platform/linkcore.h"
-#include "platform/memorystore.h"
+#include "objectstore/linkcore.h"
+#include "objectstore/memorystore.h"
 #include "roster/rosterjson.h"
 #include "types/check.h"
 
--- a/src/platform/link.cpp
+++ b/src/objectstore/link.cpp
@@ -1,9 +1,9 @@
 // The threads round LinkCore: one runs the core, one for each channel makes
 // the blocking calls.
-#include "platform/link.h"
+#include "objectstore/link.h"
 
-#include "platform/client.h"
-#include "platform/linkcore.h"
+#include "objectstore/client.h"
+#include "objectstore/linkcore.h"
 
 #include <atomic>
 #include <condition_variable>
--- a/src/platform/link.h
+++ b/src/objectstore/link.h
@@ -1,13 +1,13 @@
 // A daemon's connection to the platform's object API: watches the settings and
 // the rosters that are wanted, writes the roster, and survives outages. Its
 // thread posts what it learns; nothing here decides about traffic.
-#ifndef DRAGONFLYSTALL_SRC_PLATFORM_LINK_H
-#define DRAGONFLYSTALL_SRC_PLATFORM_LINK_H
+#ifndef DRAGONFLYSTALL_SRC_OBJECTSTORE_LINK_H
+#define DRAGONFLYSTALL_SRC_OBJECTSTORE_LINK_H
 
 #include "dragonflystall/agentcore.h"
 #include "dragonflystall/roster.h"
 #include "dragonflystall/settings.h"
-#include "platform/store.h"
+#include "objectstore/store.h"
 
 #include <functional>
 #include <memory>
--- a/src/platform/linkcore.cpp
+++ b/src/objectstore/linkcore.cpp
@@ -1,5 +1,5 @@
 // Calls, pacing and failures of the connection to the platform.
-#include "platform/linkcore.h"
+#include "objectstore/linkcore.h"
 
 #include "roster/rosterjson.h"
 #include "settings/objects.h"
--- a/src/platform/linkcore.h
+++ b/src/objectstore/linkcore.h
@@ -1,13 +1,13 @@
 // The decisions of a process's connection to the platform: what to call when,
 // what to make of the answers, when to give a connection up. No I/O; the same
 // events, times and seed give the same actions.
-#ifndef DRAGONFLYSTALL_SRC_PLATFORM_LINKCORE_H
-#define DRAGONFLYSTALL_SRC_PLATFORM_LINKCORE_H
+#ifndef DRAGONFLYSTALL_SRC_OBJECTSTORE_LINKCORE_H
+#define DRAGONFLYSTALL_SRC_OBJECTSTORE_LINKCORE_H
 
 #include "dragonflystall/agentcore.h"
-#include "platform/objectwrite.h"
-#include "platform/pacing.h"
-#include "platform/store.h"
+#include "objectstore/objectwrite.h"
+#include "objectstore/pacing.h"
+#include "objectstore/store.h"
 
 #include <list>
 #include <map>
--- a/src/platform/memorystore.cpp
+++ b/src/objectstore/memorystore.cpp
@@ -1,5 +1,5 @@
 // The rules of the platform's store, on maps.
-#include "platform/memorystore.h"
+#include "objectstore/memorystore.h"
 
 namespace dragonflystall {
 
--- a/src/platform/memorystore.h
+++ b/src/objectstore/memorystore.h
@@ -1,9 +1,9 @@
 // An object store in memory with the platform's rules: one rising revision,
 // conditional writes, a subtree for each team. For stand-ins and tests.
-#ifndef DRAGONFLYSTALL_SRC_PLATFORM_MEMORYSTORE_H
-#define DRAGONFLYSTALL_SRC_PLATFORM_MEMORYSTORE_H
+#ifndef DRAGONFLYSTALL_SRC_OBJECTSTORE_MEMORYSTORE_H
+#define DRAGONFLYSTALL_SRC_OBJECTSTORE_MEMORYSTORE_H
 
-#include "platform/store.h"
+#include "objectstore/store.h"
 
 #include <map>
 
--- a/src/platform/objectwrite.cpp
+++ b/src/objectstore/objectwrite.cpp
@@ -1,5 +1,5 @@
 // The steps of a conditional write with re-reads.
-#include "platform/objectwrite.h"
+#include "objectstore/objectwrite.h"
 
 namespace dragonflystall {
 
--- a/src/platform/objectwrite.h
+++ b/src/objectstore/objectwrite.h
@@ -1,10 +1,10 @@
 // One conditional write of an object, from the first attempt to a result. A
 // write whose answer was lost is never repeated blindly: the object is read
 // again and its writer's mark compared. No I/O.
-#ifndef DRAGONFLYSTALL_SRC_PLATFORM_OBJECTWRITE_H
-#define DRAGONFLYSTALL_SRC_PLATFORM_OBJECTWRITE_H
+#ifndef DRAGONFLYSTALL_SRC_OBJECTSTORE_OBJECTWRITE_H
+#define DRAGONFLYSTALL_SRC_OBJECTSTORE_OBJECTWRITE_H
 
-#include "platform/store.h"
+#include "objectstore/store.h"
 
 #include <optional>
 
--- a/src/platform/pacing.h
+++ b/src/objectstore/pacing.h
@@ -1,6 +1,6 @@
 // Pacing of calls to the platform: a rate budget and a backoff with jitter.
-#ifndef DRAGONFLYSTALL_SRC_PLATFORM_PACING_H
-#define DRAGONFLYSTALL_SRC_PLATFORM_PACING_H
+#ifndef DRAGONFLYSTALL_SRC_OBJECTSTORE_PACING_H
+#define DRAGONFLYSTALL_SRC_OBJECTSTORE_PACING_H
 
 #include "dragonflystall/clock.h"
 
--- a/src/platform/store.h
+++ b/src/objectstore/store.h
@@ -1,7 +1,7 @@
 // The platform's object API as typed calls and answers, and the concept that
 // its implementations model.
-#ifndef DRAGONFLYSTALL_SRC_PLATFORM_STORE_H
-#define DRAGONFLYSTALL_SRC_PLATFORM_STORE_H
+#ifndef DRAGONFLYSTALL_SRC_OBJECTSTORE_STORE_H
+#define DRAGONFLYSTALL_SRC_OBJECTSTORE_STORE_H
 
 #include "dragonflystall/types.h"
 
--- a/src/platform/storejson.cpp
+++ b/src/objectstore/storejson.cpp
@@ -1,5 +1,5 @@
 // HTTP status and JSON body to and from typed answers.
-#include "platform/storejson.h"
+#include "objectstore/storejson.h"
 
 #include <charconv>
 #include <nlohmann/json.hpp>
--- a/src/platform/storejson.h
+++ b/src/objectstore/storejson.h
@@ -1,9 +1,9 @@
 // The object API's answers as JSON: decoding for the client, encoding for
 // stand-ins.
-#ifndef DRAGONFLYSTALL_SRC_PLATFORM_STOREJSON_H
-#define DRAGONFLYSTALL_SRC_PLATFORM_STOREJSON_H
+#ifndef DRAGONFLYSTALL_SRC_OBJECTSTORE_STOREJSON_H
+#define DRAGONFLYSTALL_SRC_OBJECTSTORE_STOREJSON_H
 
-#include "platform/store.h"
+#include "objectstore/store.h"
 
 namespace dragonflystall {
 
--- a/src/platform/storejson_test.cpp
+++ b/src/objectstore/storejson_test.cpp
@@ -1,7 +1,7 @@
 // Answers of the platform survive their JSON form, and any bytes at all are
 // read or refused.
-#include "platform/memorystore.h"
-#include "platform/storejson.h"
+#include "objectstore/memorystore.h"
+#include "objectstore/storejson.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
--- a/src/opaque/directory.cpp
+++ b/src/opaque/directory.cpp
@@ -24,9 +24,8 @@
   return State == Intake::Open || State == Intake::Cold;
 }
 
-/// How willing an agent is; lower is better, and none is chosen above another
-/// tier while a lower one has agents left.
-enum class Tier : uint8_t { Taking, Unknown, Refusing };
+/// Agents of the second tier are chosen only when the first has none left.
+enum class Tier : uint8_t { Taking, Unknown };
 
 } // namespace
 
@@ -154,7 +153,7 @@
     if (!A->everAnswered() || suspect(*A, Now))
       Level = Tier::Unknown;
     else if (!takesFlows(A->Last.State))
-      Level = Tier::Refusing;
+      continue; // It tells at once when that changes.
     const std::pair<Tier, double> Cost = {Level, costOf(*A)};
     if (!Best || Cost < BestCost) {
       Best = A;
--- a/src/opaque/gate.cpp
+++ b/src/opaque/gate.cpp
@@ -56,6 +56,15 @@
   return toUpstream(GateReason::Admitted);
 }
 
+bool Gate::passable(const Trail &Way, TimePoint Now) const {
+  // Right after a start of this agent the upstream has not reported yet. What
+  // a balancer knows to be there is passed on; offers wait, since an upstream
+  // that is just starting would reset what another one holds.
+  if (!Upstream_.known())
+    return Way.How == Trail::Mode::Held;
+  return Upstream_.reachable(Now);
+}
+
 bool Gate::newData(Flow &F, const PacketHead &Head) {
   if (Head.PayloadBytes == 0)
     return false;
@@ -93,6 +102,8 @@
   const Route *Route = Config_.manifest().routeAt(Head.Destination);
   if (Route && Route->Service != service())
     return refuse(Head, Balancer, GateReason::WrongService);
+  if (!passable(Way, Now))
+    return refuse(Head, Balancer, GateReason::NotTaking);
   Flow &F = Flows_[hashOf(Head.fromCaller())];
   if (Way.How == Trail::Mode::Search)
     F.Searched = true;
@@ -138,12 +149,17 @@
   return Action;
 }
 
-Holding Gate::holding(const FlowId &Flow, TimePoint Now) const {
+std::optional<Holding> Gate::holding(const FlowId &Flow, TimePoint Now) const {
+  if (Upstream_.left())
+    return Holding::Denies;
+  if (!Upstream_.reachable(Now))
+    return std::nullopt;
   const auto It = Flows_.find(hashOf(Flow));
   if (It != Flows_.end())
     return It->second.Confirmed ? Holding::Holds : Holding::Unsure;
   // A flow that has been idle for longer may be given up.
-  const bool SeesAll = Now - SeesAllSince_ > Config_.manifest().FlowIdleTimeout;
+  const bool SeesAll = !SeesAllSince_ || Now - *SeesAllSince_ >
+                                             Config_.manifest().FlowIdleTimeout;
   return SeesAll ? Holding::Denies : Holding::Unsure;
 }
 
@@ -175,7 +191,7 @@
   Openings_.clear();
   BusyFlows_ = 0;
   // It can hold no flow that was not seen here.
-  SeesAllSince_ = TimePoint::min();
+  SeesAllSince_.reset();
 }
 
 void Gate::tick(TimePoint Now) {
--- a/src/opaque/gate.h
+++ b/src/opaque/gate.h
@@ -61,8 +61,9 @@
                           TimePoint Now);
   /// A packet that the upstream sent.
   GateAction fromUpstream(const PacketHead &Head, TimePoint Now);
-  /// Whether the upstream holds a flow, as far as the agent can tell.
-  Holding holding(const FlowId &Flow, TimePoint Now) const;
+  /// Whether the upstream holds a flow, as far as the agent can tell;
+  /// std::nullopt when nothing was heard of the upstream lately.
+  std::optional<Holding> holding(const FlowId &Flow, TimePoint Now) const;
   /// Call regularly: forgets idle flows.
   void tick(TimePoint Now);
   /// The upstream started anew: it holds none of these flows.
@@ -93,6 +94,8 @@
   GateAction bounced(const PacketHead &Head, TimePoint Now);
   /// Returns whether the packet has data that was not seen before.
   static bool newData(Flow &F, const PacketHead &Head);
+  /// Whether a packet of a flow that may be open can be passed on.
+  bool passable(const Trail &Way, TimePoint Now) const;
   /// Whether the upstream has room for one more new flow.
   bool roomFor(const Trail &Way) const;
   void endOpenings(TimePoint Now);
@@ -112,8 +115,9 @@
   double BusyAverage_ = 0;
   TimePoint AveragedAt_{};
   TimePoint SweptAt_{};
-  /// Every flow that was used since then is in Flows_, if it is open.
-  TimePoint SeesAllSince_;
+  /// Every flow that was used since then is in Flows_, if it is open; unset
+  /// when the upstream is younger than this agent.
+  std::optional<TimePoint> SeesAllSince_;
 };
 
 } // namespace dragonflystall::opaque
--- a/src/opaque/upstream.cpp
+++ b/src/opaque/upstream.cpp
@@ -33,6 +33,7 @@
     return HeartbeatVerdict::Elsewhere;
   if (Beat.Started < Beat_.Started)
     return HeartbeatVerdict::OldStart;
+  const bool Unheard = !known();
   const bool SameStart = Beat.Id == Beat_.Id && Beat.Started == Beat_.Started;
   if (SameStart && (Left_ || Beat.Sequence <= Beat_.Sequence))
     return HeartbeatVerdict::Late;
@@ -46,6 +47,8 @@
   if (SameStart)
     return HeartbeatVerdict::Taken;
   UnansweredSyns_ = 0;
+  if (Unheard && Beat.Sequence > FirstSequence)
+    return HeartbeatVerdict::TakenRunning;
   // An agent that ran before this one has admitted nothing to this start, for
   // it would have taken the first heartbeat.
   if (Beat.Sequence <= FirstSequence)
--- a/src/opaque/upstream.h
+++ b/src/opaque/upstream.h
@@ -29,13 +29,15 @@
 /// What became of a heartbeat.
 enum class HeartbeatVerdict : uint8_t {
   Taken,
-  TakenNewStart, ///< The first of this start of the upstream.
+  TakenRunning,  ///< The first that this agent hears; the upstream is older.
+  TakenNewStart, ///< The first of a start of the upstream.
   Late,          ///< A later one came before.
   OldStart,      ///< Of a start that another one has followed.
   Elsewhere,     ///< Not of the upstream beside this agent.
 };
-constexpr std::array<std::string_view, 5> HeartbeatVerdictNames = {
-    "taken", "taken-new-start", "late", "old-start", "elsewhere"};
+constexpr std::array<std::string_view, 6> HeartbeatVerdictNames = {
+    "taken", "taken-running", "taken-new-start",
+    "late",  "old-start",     "elsewhere"};
 constexpr std::string_view name(HeartbeatVerdict V) {
   return HeartbeatVerdictNames[static_cast<size_t>(V)];
 }
@@ -108,6 +110,8 @@
   uint32_t slots() const { return Beat_.Slots; }
   bool known() const { return !Beat_.Id.empty(); }
   bool left() const { return Left_; }
+  /// Whether its address is sure to be its own still: it was heard of lately.
+  bool reachable(TimePoint Now) const { return !silent(Now); }
 
 private:
   bool silent(TimePoint Now) const;
--- a/src/settings/objects.h
+++ b/src/settings/objects.h
@@ -4,7 +4,7 @@
 #define DRAGONFLYSTALL_SRC_SETTINGS_OBJECTS_H
 
 #include "dragonflystall/settings.h"
-#include "platform/store.h"
+#include "objectstore/store.h"
 #include "settings/settingerror.h"
 
 #include <memory>
--- a/src/settings/settingsview.h
+++ b/src/settings/settingsview.h
@@ -4,7 +4,7 @@
 #define DRAGONFLYSTALL_SRC_SETTINGS_SETTINGSVIEW_H
 
 #include "dragonflystall/event.h"
-#include "platform/link.h"
+#include "objectstore/link.h"
 #include "settings/assemble.h"
 
 #include <control.pb.h>
--- a/src/steering/balancerdaemon.h
+++ b/src/steering/balancerdaemon.h
@@ -3,9 +3,9 @@
 #ifndef DRAGONFLYSTALL_SRC_STEERING_BALANCERDAEMON_H
 #define DRAGONFLYSTALL_SRC_STEERING_BALANCERDAEMON_H
 
+#include "objectstore/link.h"
 #include "observe/admin.h"
 #include "observe/timeline.h"
-#include "platform/link.h"
 #include "settings/hostsettings.h"
 #include "shell/loop.h"
 #include "shell/peering.h"
--- a/standins/platform.cpp
+++ b/standins/platform.cpp
@@ -2,8 +2,8 @@
 // as long polls, and faults that can be switched on.
 //
 //   standin-platform --listen 127.1.0.1:9000 [--connections 512]
-#include "platform/memorystore.h"
-#include "platform/storejson.h"
+#include "objectstore/memorystore.h"
+#include "objectstore/storejson.h"
 
 #include <atomic>
 #include <boost/program_options.hpp>
