Ask agents as soon as they are listed; name a full queue as such

Change: a new agent is pinged at the next tick; 8 flows a slot; reasons queue-full and no-upstream apart, with the queue's length.

--- a/src/node/balancer.cpp
+++ b/src/node/balancer.cpp
@@ -10,8 +10,6 @@
 using opaque::SteerAction;
 
 constexpr Duration PingInterval = 500ms;
-/// The cache is swept this often, a stretch at a time.
-constexpr Duration SweepInterval = 100ms;
 /// After a request to stop: the fabric needs two failed probes, half a second
 /// apart, until it sends no more.
 constexpr Duration LeaveRotation = 1800ms;
@@ -43,6 +41,7 @@
                  Page_.clear();
                  AgentsKnown_ = true;
                  Steering_.onAgentsListed(Shared_.now());
+                 NextPing_ = {};
                },
                [this](const platform::Changes &C) {
                  for (const platform::Change &Event : C.Events)
@@ -84,6 +83,8 @@
         .text("name", Listed.Name);
     return;
   }
+  if (!Agents_.find(Entry->Name))
+    NextPing_ = {};
   Agents_.list(*Entry, Listed.Revision, Shared_.now());
   Shared_.log(LogClass::State, "agent-listed")
       .text("agent", Entry->Name)
@@ -152,7 +153,8 @@
   Line.text("flow", toString(Head.fromCaller()))
       .text("reason", name(Action.Why))
       .number("manifest", config().manifest().Version)
-      .number("echo", Head.Echo);
+      .number("echo", Head.Echo)
+      .number("queued", Steering_.queuedFlows());
   if (!Action.To)
     return;
   Line.text("agent", Action.To->Entry.Name)
--- a/src/node/balancer.h
+++ b/src/node/balancer.h
@@ -44,7 +44,6 @@
   bool AgentsKnown_ = false;
   uint64_t PingNumber_ = 0;
   TimePoint NextPing_{};
-  TimePoint NextSweep_{};
   TimePoint ExitAt_{};
   std::array<Counter *, opaque::SteerReasonNames.size()> Steered_{};
   Counter &Malformed_;
--- a/src/observe/eventlog.cpp
+++ b/src/observe/eventlog.cpp
@@ -19,7 +19,7 @@
 
 } // namespace
 
-EventLog::EventLog(std::string Process, int Descriptor)
+EventLog::EventLog(const std::string &Process, int Descriptor)
     : Process_(jsonString(Process)), Descriptor_(Descriptor) {
   // A reader that does not read costs lines, not packets.
   const int Flags = ::fcntl(Descriptor_, F_GETFL);
--- a/src/observe/eventlog.h
+++ b/src/observe/eventlog.h
@@ -29,7 +29,7 @@
   /// Lines a second for each class.
   static constexpr std::array<uint32_t, 3> LinesPerSecond = {10, 30, 50};
 
-  explicit EventLog(std::string Process, int Descriptor = 1);
+  explicit EventLog(const std::string &Process, int Descriptor = 1);
 
   /// One line, written when it goes out of scope.
   class Line {
--- a/src/opaque/opaqueworld_test.h
+++ b/src/opaque/opaqueworld_test.h
@@ -148,7 +148,7 @@
     return Head;
   }
   FlowId newFlow(Endpoint Route) {
-    const FlowId Flow = {{0x64000000 + ++LastCaller, 4000}, Route};
+    const FlowId Flow = {{0x64000000 + ++LastCaller_, 4000}, Route};
     Callers[Flow].Flow = Flow;
     return Flow;
   }
@@ -433,7 +433,7 @@
   std::multimap<TimePoint, std::function<void()>> Events_;
   TimePoint NextTick_{};
   uint64_t Ticks_ = 0;
-  uint32_t LastCaller = 0;
+  uint32_t LastCaller_ = 0;
 };
 
 } // namespace dragonflystall::opaque::test
--- a/src/opaque/steering.cpp
+++ b/src/opaque/steering.cpp
@@ -17,7 +17,7 @@
 constexpr double PatienceShare = 0.75;
 /// What waits at one balancer for each slot of a service: with several
 /// balancers, what its upstreams work off in a fraction of a second.
-constexpr size_t QueuedPerSlot = 4;
+constexpr size_t QueuedPerSlot = 8;
 /// Each tick, a balancer tries one of its waiting flows for so many slots of
 /// the service.
 constexpr size_t SlotsPerRelease = 3;
@@ -113,7 +113,7 @@
     return refuse(SteerReason::NoUpstream);
   const size_t Room = QueuedPerSlot * Agents_.slotsOf(Route.Service);
   if (!Queue_.add(Head, Bytes, Route, Room, Now))
-    return refuse(SteerReason::NoUpstream);
+    return refuse(SteerReason::QueueFull);
   return drop(SteerReason::Queued);
 }
 
@@ -175,7 +175,7 @@
   });
   if (!S->denied())
     return drop(SteerReason::Asked);
-  const SteerAction Action =
+  SteerAction Action =
       complete(*S, Now) ? breakOff(Head) : drop(SteerReason::Lost);
   Searches_.erase(Hash);
   return Action;
--- a/src/opaque/steering.h
+++ b/src/opaque/steering.h
@@ -23,14 +23,15 @@
   NoManifest,  ///< Nothing is known yet.
   NoRoute,     ///< No such route.
   NoUpstream,  ///< No agent is left that could take the flow.
+  QueueFull,   ///< Enough new flows wait for the service.
   NotFound,    ///< All agents of the service deny the flow.
   Lost,        ///< Not found, but not everybody has answered.
   Stray,       ///< Not a caller's packet.
 };
-constexpr std::array<std::string_view, 13> SteerReasonNames = {
-    "placed",    "placed-again", "held",        "queued",   "asked",
-    "found",     "offered",      "no-manifest", "no-route", "no-upstream",
-    "not-found", "lost",         "stray"};
+constexpr std::array<std::string_view, 14> SteerReasonNames = {
+    "placed",     "placed-again", "held",        "queued",   "asked",
+    "found",      "offered",      "no-manifest", "no-route", "no-upstream",
+    "queue-full", "not-found",    "lost",        "stray"};
 constexpr std::string_view name(SteerReason R) {
   return SteerReasonNames[static_cast<size_t>(R)];
 }
