Reset dead flows as soon as all agents deny them; explain a flow from logs

Cause: after a loss of power callers waited on flows that no upstream held any more: a balancer trusts that everybody denies a flow only 5 s after its list was read, for the sake of agents that the store does not list at the moment; an agent whose upstream had ended for good never answered.

Change: a starting balancer also asks a seed which agents it knows, and trusts the union at once; an agent denies all flows when its upstream gave no sign of life for 4 s in which the agent itself was awake.

Kept for callers: a reset in place of a timeout.

dragonflystall explain FLOW LOG... joins the logs.

--- a/cli/command.h
+++ b/cli/command.h
@@ -44,6 +44,8 @@
 int runCallCommand(const Arguments &Args);
 // cli/loadcommand.cpp
 int runLoadCommand(const Arguments &Args);
+// cli/explaincommand.cpp
+int runExplain(const Arguments &Args);
 // cli/timelinecommand.cpp
 int runTimelineCommand(const Arguments &Args);
 
--- a/cli/main.cpp
+++ b/cli/main.cpp
@@ -21,6 +21,7 @@
     Command{"load", "drive many flows and report", runLoadCommand},
     Command{"timeline", "merge the events of many processes",
             runTimelineCommand},
+    Command{"explain", "tell one flow's story from logs", runExplain},
 };
 
 void printCommands() {
--- a/src/node/agent.cpp
+++ b/src/node/agent.cpp
@@ -35,7 +35,8 @@
     // There are many agents: they watch at a tenth of the cost, and balancers
     // tell them of what such a watch brings late.
     : Process(Initial, std::move(Read), "agent",
-              platform::Consistency::Serializable),
+              {Initial.Store, Initial.Seeds,
+               platform::Consistency::Serializable, /*AlwaysAskSeeds=*/false}),
       Upstream_({Initial.Upstream, Initial.Zone, Initial.AddressReuseAfter,
                  Initial.ColdFactor, Initial.ColdSlack},
                 config(), Shared_.now()),
@@ -305,6 +306,7 @@
 }
 
 void Agent::onTick(TimePoint Now) {
+  Upstream_.tick(Now);
   Gate_.tick(Now);
   reportIntake(Now);
   std::erase_if(Askers_, [Now](const Asker &A) {
--- a/src/node/balancer.cpp
+++ b/src/node/balancer.cpp
@@ -21,7 +21,8 @@
 
 Balancer::Balancer(const Settings &Initial, SettingsReader Read)
     : Process(Initial, std::move(Read), "balancer",
-              platform::Consistency::Linearizable),
+              {Initial.Store, Initial.Seeds,
+               platform::Consistency::Linearizable, /*AlwaysAskSeeds=*/true}),
       Agents_(Initial.Zone, Shared_.Rng()),
       Steering_(config(), Agents_, CachedFlows, Shared_.now()),
       Listed_(Shared_, Health_, Initial.Store, platform::ObjectKind::Agent,
@@ -188,6 +189,8 @@
 void Balancer::onPeerAgents(const std::vector<opaque::AgentEntry> &Agents) {
   for (const opaque::AgentEntry &Entry : Agents)
     Agents_.hear(Entry, Shared_.now());
+  Steering_.onPeerHeard();
+  NextPing_ = {};
   AgentsKnown_ = AgentsKnown_ || !Agents.empty();
 }
 
--- a/src/node/configsource.cpp
+++ b/src/node/configsource.cpp
@@ -10,6 +10,8 @@
 constexpr Duration BehindFor = 300ms;
 /// How long a start waits for the store before it asks a seed.
 constexpr Duration SeedAfter = 400ms;
+/// How long a start goes on asking when the store has answered.
+constexpr Duration AskSeedsFor = 3s;
 constexpr Duration FetchInterval = 500ms;
 constexpr Duration FetchTimeout = 1s;
 constexpr int StatusOk = 200;
@@ -17,10 +19,10 @@
 } // namespace
 
 ConfigSource::ConfigSource(Services &Shared, StoreHealth &Health,
-                           Endpoint Store, std::vector<Endpoint> Seeds,
-                           platform::Consistency Watches, Handler OnNews)
-    : Shared_(Shared), OnNews_(std::move(OnNews)),
-      Manifests_(Shared, Health, Store, platform::ObjectKind::Manifest, Watches,
+                           ConfigSources From, Handler OnNews)
+    : Shared_(Shared), From_(std::move(From)), OnNews_(std::move(OnNews)),
+      Manifests_(Shared, Health, From_.Store, platform::ObjectKind::Manifest,
+                 From_.Watches,
                  {[this](const platform::Page &P, bool) {
                     onManifests(P.Objects, "store");
                   },
@@ -33,7 +35,8 @@
                     onManifests(Objects, "store");
                   }}),
       Evacuations_(
-          Shared, Health, Store, platform::ObjectKind::Evacuation, Watches,
+          Shared, Health, From_.Store, platform::ObjectKind::Evacuation,
+          From_.Watches,
           {[this](const platform::Page &P, bool First) {
              if (First)
                ListedZones_.clear();
@@ -51,15 +54,22 @@
                  ListedZones_.insert(Event.What.Name);
              offerEvacuations({C.Revision, ListedZones_}, "store");
            }}),
-      Seeds_(std::move(Seeds)), StartedAt_(Shared.now()) {}
+      StartedAt_(Shared.now()) {}
 
 void ConfigSource::poll(TimePoint Now) {
   Manifests_.poll(Now);
   Evacuations_.poll(Now);
-  if (complete() || Seeds_.empty() || Now - StartedAt_ < SeedAfter)
-    return;
-  if (Now >= NextFetch_)
-    fetch(Seeds_[NextSeed_++ % Seeds_.size()], Now);
+  if (seedsDue(Now) && Now >= NextFetch_)
+    fetch(From_.Seeds[NextSeed_++ % From_.Seeds.size()], Now);
+}
+
+bool ConfigSource::seedsDue(TimePoint Now) const {
+  if (From_.Seeds.empty())
+    return false;
+  const Duration Age = Now - StartedAt_;
+  if (From_.AlwaysAskSeeds && !PeerAnswered_ && Age < AskSeedsFor)
+    return true;
+  return !complete() && Age >= SeedAfter;
 }
 
 void ConfigSource::onManifests(const std::vector<platform::Object> &Objects,
@@ -132,6 +142,7 @@
 }
 
 void ConfigSource::onPeerState(const platform::PeerState &State) {
+  PeerAnswered_ = true;
   const bool WasBehind = BehindSince_.has_value();
   BehindSince_.reset();
   const int64_t Revision = Config_.evacuations().Revision;
--- a/src/node/configsource.h
+++ b/src/node/configsource.h
@@ -8,6 +8,17 @@
 
 namespace dragonflystall::node {
 
+/// Where a process's configuration comes from.
+struct ConfigSources {
+  Endpoint Store;
+  std::vector<Endpoint> Seeds;
+  /// How fresh watches must be.
+  platform::Consistency Watches = platform::Consistency::Linearizable;
+  /// Ask a seed at the start also when the store answers: a peer knows of
+  /// agents that the store does not list at the moment.
+  bool AlwaysAskSeeds = false;
+};
+
 class ConfigSource {
 public:
   struct Handler {
@@ -17,8 +28,7 @@
     std::function<void(const std::vector<opaque::AgentEntry> &)> OnAgents;
   };
 
-  ConfigSource(Services &Shared, StoreHealth &Health, Endpoint Store,
-               std::vector<Endpoint> Seeds, platform::Consistency Watches,
+  ConfigSource(Services &Shared, StoreHealth &Health, ConfigSources From,
                Handler OnNews);
 
   const opaque::Configuration &config() const { return Config_; }
@@ -31,7 +41,7 @@
   /// A peer that serves HTTP at this address knows so much.
   void onPeerKnows(const opaque::Knowledge &Theirs, Endpoint PeerHttp,
                    TimePoint Now);
-  void setSeeds(std::vector<Endpoint> Seeds) { Seeds_ = std::move(Seeds); }
+  void setSeeds(std::vector<Endpoint> Seeds) { From_.Seeds = std::move(Seeds); }
 
 private:
   void onManifests(const std::vector<platform::Object> &Objects,
@@ -41,7 +51,10 @@
   void fetch(Endpoint Peer, TimePoint Now);
   void onPeerState(const platform::PeerState &State);
 
+  bool seedsDue(TimePoint Now) const;
+
   Services &Shared_;
+  ConfigSources From_;
   Handler OnNews_;
   opaque::Configuration Config_;
   std::string ManifestContent_;
@@ -50,11 +63,11 @@
   std::set<std::string> ListedZones_;
   KindFollower Manifests_;
   KindFollower Evacuations_;
-  std::vector<Endpoint> Seeds_;
   std::unique_ptr<HttpChannel> Peer_;
   TimePoint StartedAt_;
   TimePoint NextFetch_{};
   size_t NextSeed_ = 0;
+  bool PeerAnswered_ = false;
   /// Since when a peer is known to know more; unset when none does.
   std::optional<TimePoint> BehindSince_;
 };
--- a/src/node/process.cpp
+++ b/src/node/process.cpp
@@ -17,9 +17,9 @@
 } // namespace
 
 Process::Process(const Settings &Initial, SettingsReader Read,
-                 std::string_view Role, platform::Consistency Watches)
+                 std::string_view Role, ConfigSources From)
     : Shared_(Initial.Name), Settings_(Initial), Health_(Shared_),
-      Config_(Shared_, Health_, Initial.Store, Initial.Seeds, Watches,
+      Config_(Shared_, Health_, std::move(From),
               {[this] { onManifest(); }, [this] { onEvacuations(); },
                [this](const auto &Agents) { onPeerAgents(Agents); }}),
       Read_(std::move(Read)),
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -19,9 +19,8 @@
 class Process {
 public:
   /// Throws std::runtime_error when an address can't be bound.
-  /// Watches: how fresh its watches of the configuration must be.
   Process(const Settings &Initial, SettingsReader Read, std::string_view Role,
-          platform::Consistency Watches);
+          ConfigSources From);
   virtual ~Process() = default;
   Process(const Process &) = delete;
   Process &operator=(const Process &) = delete;
--- a/src/opaque/gate.cpp
+++ b/src/opaque/gate.cpp
@@ -150,7 +150,7 @@
 }
 
 std::optional<Holding> Gate::holding(const FlowId &Flow, TimePoint Now) const {
-  if (Upstream_.left())
+  if (Upstream_.left() || Upstream_.ended())
     return Holding::Denies;
   if (!Upstream_.reachable(Now))
     return std::nullopt;
--- a/src/opaque/opaque_test.cpp
+++ b/src/opaque/opaque_test.cpp
@@ -120,6 +120,45 @@
   EXPECT_TRUE(W.Callers[Flow].Reset);
 }
 
+TEST_F(Opaque, AFlowOfAnUpstreamThatEndedForGoodIsReset) {
+  const FlowId Flow = W.open(*First, DeskRoute);
+  holderOf(Flow).Up.Alive = false;
+  W.sendData(*First, Flow, 11);
+  W.run(3s);
+  // It may be paused.
+  EXPECT_FALSE(W.Callers[Flow].Reset);
+  W.run(2s);
+  W.sendData(*First, Flow, 11);
+  W.run(50ms);
+  EXPECT_TRUE(W.Callers[Flow].Reset);
+}
+
+TEST_F(Opaque, AfterALossOfPowerDeadFlowsAreResetAtOnce) {
+  const FlowId Flow = W.open(*First, DeskRoute);
+  for (FakeHost &H : W.Hosts) {
+    H.Running = false;
+    W.restartUpstream(H);
+    W.startAgent(H);
+  }
+  W.Hears = true;
+  W.startBalancer(*First);
+  W.run(600ms);
+  W.sendData(*First, Flow, 11);
+  W.run(50ms);
+  EXPECT_TRUE(W.Callers[Flow].Reset);
+}
+
+TEST_F(Opaque, AnAgentThatWasHeldUpDoesNotCountItsUpstreamAsEnded) {
+  const FlowId Flow = W.open(*First, DeskRoute);
+  FakeHost &Holder = holderOf(Flow);
+  Holder.Running = false; // Frozen, with what it knows.
+  W.run(6s);
+  Holder.Running = true;
+  W.sendData(*First, Flow, 11);
+  W.run(300ms);
+  EXPECT_FALSE(W.Callers[Flow].Reset);
+}
+
 TEST_F(Opaque, AYoungBalancerDoesNotResetWhatItCannotFind) {
   const FlowId Flow = W.open(*First, DeskRoute);
   const std::string Name = holderOf(Flow).Entry.Name;
--- a/src/opaque/opaqueworld_test.h
+++ b/src/opaque/opaqueworld_test.h
@@ -78,6 +78,7 @@
   std::map<FlowId, Caller> Callers;
   std::string Broken; ///< The first invariant that did not hold.
   double Loss = 0;
+  bool Hears = false; ///< Balancers that start hear of all agents from a peer.
 
   FakeHost &addHost(const std::string &Service) {
     FakeHost &H = Hosts.emplace_back();
@@ -128,6 +129,8 @@
     for (const FakeHost &H : Hosts)
       B.Agents->list(H.Entry, 1, Now);
     B.Core->onAgentsListed(Now);
+    if (Hears)
+      B.Core->onPeerHeard();
   }
   void publish() {
     ++Shared.Version;
@@ -386,6 +389,7 @@
     ++Ticks_;
     for (FakeHost &H : Hosts)
       if (H.Running) {
+        H.Belief->tick(Now);
         H.Entrance->tick(Now);
         report(H);
         if (Ticks_ % 8 == 0)
--- a/src/opaque/steering.cpp
+++ b/src/opaque/steering.cpp
@@ -10,7 +10,7 @@
 /// A new flow is offered to at most so many agents before it is refused.
 constexpr int MostOffers = 6;
 /// Agents that the store does not list at the moment make themselves known
-/// within this time.
+/// within this time, if no peer has told of them.
 constexpr Duration SettledAfter = 5s;
 /// A new flow waits for an upstream that will be warm within this share of its
 /// caller's timeout; the rest is for the request itself.
@@ -182,7 +182,9 @@
 }
 
 bool Steering::complete(const Search &S, TimePoint Now) const {
-  return !S.Incomplete && ListedAt_ && Now - *ListedAt_ > SettledAfter;
+  const bool AllKnown =
+      ListedAt_ && (PeerHeard_ || Now - *ListedAt_ > SettledAfter);
+  return AllKnown && !S.Incomplete;
 }
 
 std::vector<LateAction> Steering::concluded(Search &S, TimePoint Now) {
--- a/src/opaque/steering.h
+++ b/src/opaque/steering.h
@@ -79,6 +79,8 @@
   /// The list of agents was read from the store in full: before that, that
   /// all known agents deny a flow proves nothing.
   void onAgentsListed(TimePoint Now);
+  /// A peer has told of the agents that it knows, listed or not.
+  void onPeerHeard() { PeerHeard_ = true; }
 
   size_t queuedFlows() const { return Queue_.size(); }
   size_t cachedFlows() const { return Cache_.size(); }
@@ -105,6 +107,7 @@
   OpenQueue Queue_;
   TimePoint Started_;
   std::optional<TimePoint> ListedAt_;
+  bool PeerHeard_ = false;
 };
 
 } // namespace dragonflystall::opaque
--- a/src/opaque/upstream.cpp
+++ b/src/opaque/upstream.cpp
@@ -40,6 +40,7 @@
   Beat_ = Beat;
   Left_ = false;
   LastAlive_ = Now;
+  SilentTicks_ = 0;
   ColdUnknown_ = false;
   ColdUntil_ = {};
   if (Beat.ColdFor > Duration::zero())
@@ -63,8 +64,20 @@
   return true;
 }
 
+void Upstream::tick(TimePoint Now) {
+  // A tick that comes late shows that this agent was held up, and with it
+  // what the upstream may have sent.
+  const bool InTime = Now - LastTick_ < 3 * TickInterval;
+  LastTick_ = Now;
+  if (!InTime)
+    SilentTicks_ = 0;
+  else if (known() && !ended())
+    ++SilentTicks_;
+}
+
 void Upstream::onAnswer(TimePoint Now) {
   LastAlive_ = Now;
+  SilentTicks_ = 0;
   UnansweredSyns_ = 0;
 }
 
--- a/src/opaque/upstream.h
+++ b/src/opaque/upstream.h
@@ -89,6 +89,8 @@
   void onAnswer(TimePoint Now);
   /// It returned a packet: it is responsive, but may have started anew.
   void onBounce() { UnansweredSyns_ = 0; }
+  /// Call every TickInterval: notices that it has ended.
+  void tick(TimePoint Now);
   /// It was sent a SYN.
   void onSynPassed(TimePoint Now);
   /// Call when the zones that are out have changed.
@@ -110,10 +112,16 @@
   uint32_t slots() const { return Beat_.Slots; }
   bool known() const { return !Beat_.Id.empty(); }
   bool left() const { return Left_; }
+  /// Whether it has ended, with its flows: not a sign of life for EndedAfter,
+  /// during all of which this agent was awake.
+  bool ended() const { return SilentTicks_ >= EndedTicks; }
+  static constexpr Duration TickInterval = 100ms;
+  static constexpr Duration EndedAfter = 4s;
   /// Whether its address is sure to be its own still: it was heard of lately.
   bool reachable(TimePoint Now) const { return !silent(Now); }
 
 private:
+  static constexpr uint32_t EndedTicks = EndedAfter / TickInterval;
   bool silent(TimePoint Now) const;
   bool unresponsive(TimePoint Now) const;
   bool cold(TimePoint Now) const;
@@ -123,6 +131,8 @@
   Heartbeat Beat_;
   bool Left_ = false;
   TimePoint LastAlive_{};
+  TimePoint LastTick_{};
+  uint32_t SilentTicks_ = 0; ///< Ticks in time since LastAlive_.
   TimePoint ColdUntil_{};
   /// The zone came back and no heartbeat has told since whether the upstream
   /// is cold.
