--- a/bench/bench.h
+++ b/bench/bench.h
@@ -69,6 +69,12 @@
 Outcome steerMiss();
 Outcome joinMoves();
 Outcome changeSettings();
+// bench/opaquebench.cpp
+Outcome steerOpaqueFew();
+Outcome steerOpaqueMany();
+Outcome placeOpaque();
+Outcome searchOpaque();
+Outcome admitOpaque();
 // bench/admitbench.cpp
 Outcome admitToColdUpstream();
 // bench/ticketbench.cpp
--- a/src/node/balancer.cpp
+++ b/src/node/balancer.cpp
@@ -64,10 +64,9 @@
     Steered_[I] = &Shared_.Counts.counter(
         {"dragonflystall_packets_steered_total", "Packets by what was decided.",
          fmt::format("reason=\"{}\"", opaque::SteerReasonNames[I])});
-  FromCallers_ = &bindUdp(Settings_.Packets,
-                          [this](Endpoint From, std::string_view Bytes) {
-                            onCallerDatagram(From, Bytes);
-                          });
+  FromCallers_ = &bindUdpBatches(
+      Settings_.Packets,
+      [this](std::span<const Datagram> Batch) { onCallerBatch(Batch); });
   ToAgents_ =
       &bindUdp(Settings_.Peers, [this](Endpoint From, std::string_view Bytes) {
         onReturnedDatagram(From, Bytes);
@@ -93,12 +92,22 @@
       .number("revision", Listed.Revision);
 }
 
-void Balancer::onCallerDatagram(Endpoint, std::string_view Bytes) {
-  const auto Head = platform::decodeHead(Bytes);
-  if (!Head)
-    return Malformed_.add();
+void Balancer::onCallerBatch(std::span<const Datagram> Batch) {
+  Heads_.clear();
+  for (const Datagram &D : Batch) {
+    Heads_.push_back(platform::decodeHead(D.Bytes));
+    if (Heads_.back())
+      Steering_.prefetch(*Heads_.back());
+  }
   const TimePoint Now = Shared_.now();
-  carryOut(Steering_.fromCaller(*Head, Bytes, Now), *Head, Bytes, Now);
+  for (size_t I = 0; I < Batch.size(); ++I) {
+    const auto &Head = Heads_[I];
+    const std::string_view Bytes = Batch[I].Bytes;
+    if (Head)
+      carryOut(Steering_.fromCaller(*Head, Bytes, Now), *Head, Bytes, Now);
+    else
+      Malformed_.add();
+  }
 }
 
 void Balancer::onReturnedDatagram(Endpoint From, std::string_view Bytes) {
--- a/src/node/balancer.h
+++ b/src/node/balancer.h
@@ -21,7 +21,7 @@
   std::vector<opaque::AgentEntry> agentsForPeers() const override;
 
 private:
-  void onCallerDatagram(Endpoint From, std::string_view Bytes);
+  void onCallerBatch(std::span<const Datagram> Batch);
   void onReturnedDatagram(Endpoint From, std::string_view Bytes);
   void carryOut(const opaque::SteerAction &Action,
                 const opaque::PacketHead &Head, std::string_view Bytes,
@@ -37,6 +37,7 @@
   opaque::Steering Steering_;
   KindFollower Listed_;
   HttpChannel RemoveChannel_;
+  std::vector<std::optional<opaque::PacketHead>> Heads_; ///< Of one batch.
   UdpSocket *FromCallers_ = nullptr;
   UdpSocket *ToAgents_ = nullptr;
   std::vector<std::pair<opaque::AgentEntry, int64_t>> Page_;
--- a/src/node/process.cpp
+++ b/src/node/process.cpp
@@ -65,13 +65,22 @@
 }
 
 UdpSocket &Process::bindUdp(Endpoint Local, UdpSocket::Receiver Each) {
+  return bindUdpBatches(
+      Local, [Each = std::move(Each)](std::span<const Datagram> Batch) {
+        for (const Datagram &D : Batch)
+          Each(D.From, D.Bytes);
+      });
+}
+
+UdpSocket &Process::bindUdpBatches(Endpoint Local,
+                                   UdpSocket::BatchReceiver Each) {
   auto Socket = UdpSocket::bind(Local);
   if (!Socket)
     throw std::runtime_error(toString(Local) + ": " + Socket.error());
   UdpSocket &Result = *Sockets_.emplace_back(std::move(*Socket));
   SocketWatches_.emplace_back(Shared_.Base.get(), Result.descriptor(),
                               [this, &Result, Each = std::move(Each)] {
-                                Result.receive(Each);
+                                Result.receiveBatches(Each);
                                 flush();
                               });
   return Result;
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -47,6 +47,8 @@
 
   /// A bound socket whose datagrams go to Each; throws std::runtime_error.
   UdpSocket &bindUdp(Endpoint Local, UdpSocket::Receiver Each);
+  /// The same, a batch at a time.
+  UdpSocket &bindUdpBatches(Endpoint Local, UdpSocket::BatchReceiver Each);
   /// Throws std::runtime_error.
   void listenHttp(Endpoint Local);
   void sendControl(Endpoint To, const opaque::ControlMessage &Message);
--- a/src/opaque/steering.h
+++ b/src/opaque/steering.h
@@ -67,6 +67,11 @@
       : Config_(Config), Agents_(Agents), Cache_(CachedFlows),
         Started_(Started) {}
 
+  /// Starts to bring the flow's cache entry close: call for each packet of a
+  /// batch before the first is steered.
+  void prefetch(const PacketHead &Head) const {
+    Cache_.prefetch(hashOf(Head.fromCaller()));
+  }
   /// A caller's packet.
   SteerAction fromCaller(const PacketHead &Head, std::string_view Bytes,
                          TimePoint Now);
