--- a/src/node/balancer.cpp
+++ b/src/node/balancer.cpp
@@ -11,8 +11,12 @@
 
 constexpr Duration PingInterval = 500ms;
 /// After a request to stop: the fabric needs two failed probes, half a second
-/// apart, until it sends no more.
-constexpr Duration LeaveRotation = 1800ms;
+/// apart, until it sends no more; it goes on longer when too few others are
+/// left, and is served until it does not.
+constexpr Duration LeastStop = 1100ms;
+constexpr Duration QuietBeforeExit = 250ms;
+/// Before the process would be killed.
+constexpr Duration GraceMargin = 500ms;
 constexpr Duration RemoveTimeout = 2s;
 /// 40 bytes each.
 constexpr size_t CachedFlows = 20000;
@@ -100,6 +104,7 @@
       Steering_.prefetch(*Heads_.back());
   }
   const TimePoint Now = Shared_.now();
+  LastCallerPacket_ = Now;
   for (size_t I = 0; I < Batch.size(); ++I) {
     const auto &Head = Heads_[I];
     const std::string_view Bytes = Batch[I].Bytes;
@@ -270,12 +275,15 @@
       removeDead(Now);
   }
   carryOut(Steering_.tick(Now), Now);
-  if (stopping() && Now >= ExitAt_)
+  if (stopping() && drained(Now))
     finish();
 }
 
-void Balancer::onStop(TimePoint Now) {
-  ExitAt_ = Now + std::min(LeaveRotation, Settings_.Grace / 2);
+bool Balancer::drained(TimePoint Now) const {
+  const Duration Stopping = Now - StopAt_;
+  if (Stopping >= Settings_.Grace - GraceMargin)
+    return true;
+  return Stopping >= LeastStop && Now - LastCallerPacket_ >= QuietBeforeExit;
 }
 
 } // namespace dragonflystall::node
--- a/src/node/balancer.h
+++ b/src/node/balancer.h
@@ -16,7 +16,7 @@
   void onControl(const opaque::ControlMessage &Message, Endpoint From,
                  TimePoint Now) override;
   void onPeerAgents(const std::vector<opaque::AgentEntry> &Agents) override;
-  void onStop(TimePoint Now) override;
+  void onStop(TimePoint Now) override { StopAt_ = Now; }
   bool ready() const override;
   std::vector<opaque::AgentEntry> agentsForPeers() const override;
 
@@ -29,6 +29,8 @@
   void carryOut(const std::vector<opaque::LateAction> &Actions, TimePoint Now);
   void logAction(const opaque::SteerAction &Action,
                  const opaque::PacketHead &Head, TimePoint Now);
+  /// Told to stop, and the fabric sends nothing more.
+  bool drained(TimePoint Now) const;
   void ping(TimePoint Now);
   void removeDead(TimePoint Now);
   void onAgentObject(const platform::Object &Listed);
@@ -45,7 +47,8 @@
   bool AgentsKnown_ = false;
   uint64_t PingNumber_ = 0;
   TimePoint NextPing_{};
-  TimePoint ExitAt_{};
+  TimePoint StopAt_{};
+  TimePoint LastCallerPacket_{};
   std::array<Counter *, opaque::SteerReasonNames.size()> Steered_{};
   Counter &Malformed_;
   Gauge &AgentsAlive_;
