List only agents whose upstream was heard; give up hosts that are gone

Change: an agent lists itself at its upstream's first heartbeat; one that hears none for 4 s denies all flows; an agent that is silent for 5 s no longer keeps a search from ending.

--- a/src/node/agent.cpp
+++ b/src/node/agent.cpp
@@ -62,8 +62,6 @@
         onUpstreamPacket(Bytes);
       });
   listenHttp(Settings_.Control);
-  wantEntry();
-  pollRegistration(Shared_.now());
 }
 
 void Agent::wantEntry() {
@@ -160,6 +158,7 @@
         .number("started", Beat.Started)
         .number("sequence", Beat.Sequence)
         .age("cold_ms", Beat.ColdFor);
+  pollRegistration(Now);
   reportIntake(Now);
   flush();
   return emptyAnswer(StatusOk);
--- a/src/node/balancer.cpp
+++ b/src/node/balancer.cpp
@@ -236,7 +236,7 @@
     if (Suspect && !WasSuspect)
       Shared_.log(LogClass::State, "agent-suspected")
           .text("agent", Name)
-          .age("silent_ms", Now - A->LastPong);
+          .age("silent_ms", opaque::Directory::silentFor(*A, Now));
   }
   AgentsAlive_.set(static_cast<int64_t>(Alive));
   AgentsTotal_.set(static_cast<int64_t>(Agents_.agents().size()));
--- a/src/opaque/directory.cpp
+++ b/src/opaque/directory.cpp
@@ -122,10 +122,6 @@
   return It == ByService_.end() ? None : It->second;
 }
 
-bool Directory::suspect(const Agent &A, TimePoint Now) const {
-  return A.AskedAt != TimePoint{} && Now - A.AskedAt > SuspectAfter;
-}
-
 uint32_t Directory::triedBit(const Agent &A) {
   return 1u << (static_cast<uint32_t>(A.Id) % Trail::TriedBits);
 }
--- a/src/opaque/directory.h
+++ b/src/opaque/directory.h
@@ -39,6 +39,9 @@
   /// An agent that has not answered for so long is left out where others can
   /// be asked: two pings and a margin.
   static constexpr Duration SuspectAfter = 1200ms;
+  /// What an agent held that is silent for so long is given up: its callers
+  /// are better off with a new flow.
+  static constexpr Duration GiveUpAfter = 5s;
   /// An agent that is not listed and silent for so long is forgotten.
   static constexpr Duration ForgetAfter = 2s;
   /// An entry of an agent that is silent for so long is removed from the
@@ -68,7 +71,16 @@
     return Agents_;
   }
 
-  bool suspect(const Agent &A, TimePoint Now) const;
+  bool suspect(const Agent &A, TimePoint Now) const {
+    return silentFor(A, Now) > SuspectAfter;
+  }
+  bool givenUp(const Agent &A, TimePoint Now) const {
+    return silentFor(A, Now) > GiveUpAfter;
+  }
+  /// How long it has been asked without an answer.
+  static Duration silentFor(const Agent &A, TimePoint Now) {
+    return A.AskedAt == TimePoint{} ? Duration::zero() : Now - A.AskedAt;
+  }
   /// The agent of the service that should get a new flow, but for those in
   /// Tried (see triedBit); nullptr when none is left.
   Agent *choose(const std::string &Service, uint32_t Tried, TimePoint Now);
--- a/src/opaque/gate.cpp
+++ b/src/opaque/gate.cpp
@@ -151,7 +151,7 @@
 
 std::optional<Holding> Gate::holding(const FlowId &Flow, TimePoint Now) const {
   if (Upstream_.left() || Upstream_.ended())
-    return Holding::Denies;
+    return Holding::Denies; // Also when there never was one.
   if (!Upstream_.reachable(Now))
     return std::nullopt;
   const auto It = Flows_.find(hashOf(Flow));
--- a/src/opaque/search.cpp
+++ b/src/opaque/search.cpp
@@ -17,10 +17,10 @@
   S.Service = Service;
   S.Started = Now;
   for (const Agent *A : Agents.of(Service))
-    if (Agents.suspect(*A, Now))
-      S.Incomplete = true;
-    else
+    if (!Agents.suspect(*A, Now))
       S.Open.push_back(A->Id);
+    else if (!Agents.givenUp(*A, Now))
+      S.Incomplete = true;
   return &S;
 }
 
--- a/src/opaque/upstream.cpp
+++ b/src/opaque/upstream.cpp
@@ -71,7 +71,7 @@
   LastTick_ = Now;
   if (!InTime)
     SilentTicks_ = 0;
-  else if (known() && !ended())
+  else if (!ended())
     ++SilentTicks_;
 }
 
