--- a/bench/opaquebench.cpp
+++ b/bench/opaquebench.cpp
@@ -149,7 +149,7 @@
 Outcome admitOpaque() {
   Configuration Config;
   Config.offer(manifest());
-  Upstream Beside({UpstreamAddress, "zone-0", 2s, 1.5, 5}, Config, Now);
+  Upstream Beside({UpstreamAddress, "zone-0", 2s, 1s, 1.5, 5}, Config, Now);
   Gate Entrance(Config, Beside, "service", FewFlows, Now);
   Heartbeat Beat;
   Beat.Id = "upstream";
--- a/src/node/agent.cpp
+++ b/src/node/agent.cpp
@@ -38,7 +38,8 @@
               {Initial.Store, Initial.Seeds,
                platform::Consistency::Serializable, /*AlwaysAskSeeds=*/false}),
       Upstream_({Initial.Upstream, Initial.Zone, Initial.AddressReuseAfter,
-                 Initial.ColdFactor, Initial.ColdSlack},
+                 Initial.HeartbeatInterval, Initial.ColdFactor,
+                 Initial.ColdSlack},
                 config(), Shared_.now()),
       Gate_(config(), Upstream_, Initial.Service, MostFlows, Shared_.now()),
       Registration_(Shared_.Rng()),
@@ -322,9 +323,12 @@
 
 void Agent::onStop(TimePoint Now) {
   reportIntake(Now);
-  const bool UpstreamGone = Upstream_.left();
-  if (UpstreamGone)
+  const bool UpstreamGone = Upstream_.left() || Upstream_.ended();
+  if (UpstreamGone) {
+    // An earlier start of this agent may have left an entry.
     Registration_.want(std::nullopt);
+    Registration_.doubt();
+  }
   ExitAt_ = Now + (UpstreamGone ? LeaveTimeout : StopDelay);
 }
 
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -34,6 +34,8 @@
   /// After a request to stop, the process is killed so much later.
   Duration Grace = 5s;
   Duration AddressReuseAfter = 2s;
+  /// About how often an upstream reports.
+  Duration HeartbeatInterval = 1s;
   double ColdFactor = 1;
   double ColdSlack = 0;
   size_t MemoryBytes = 0;
--- a/src/opaque/opaque_test.cpp
+++ b/src/opaque/opaque_test.cpp
@@ -83,7 +83,8 @@
   Added.Up.Starting = true;
   Added.Up.Beats = 0;
   Added.Belief = std::make_unique<Upstream>(
-      UpstreamSettings{World::address(Added), Added.Entry.Zone, 2s, 1.5, 5},
+      UpstreamSettings{World::address(Added), Added.Entry.Zone, 2s, 800ms, 1.5,
+                       5},
       Added.Config, W.Now);
   Added.Entrance =
       std::make_unique<Gate>(Added.Config, *Added.Belief, "desk", 100, W.Now);
@@ -146,7 +147,9 @@
   Other.Up.Alive = false;
   W.startAgent(Other);
   EXPECT_EQ(Other.Entrance->holding(Flow, W.Now), std::nullopt);
-  W.run(5s);
+  W.run(1s);
+  EXPECT_EQ(Other.Entrance->holding(Flow, W.Now), std::nullopt);
+  W.run(1500ms);
   EXPECT_EQ(Other.Entrance->holding(Flow, W.Now), Holding::Denies);
 }
 
@@ -536,6 +539,17 @@
   EXPECT_EQ(R.next(Now), Call::Create);
 }
 
+TEST_F(Registering, AnEntryOfAnEarlierStartIsRemoved) {
+  R.want(std::nullopt);
+  EXPECT_EQ(R.next(Now), std::nullopt);
+  R.doubt();
+  EXPECT_EQ(R.next(Now), Call::Read);
+  R.onStored(Entry, 5);
+  EXPECT_EQ(R.next(Now), Call::Remove);
+  R.onAbsent();
+  EXPECT_TRUE(R.settled());
+}
+
 TEST_F(Registering, LeavingRemovesTheEntry) {
   R.next(Now);
   R.onStored(Entry, 5);
--- a/src/opaque/opaqueworld_test.h
+++ b/src/opaque/opaqueworld_test.h
@@ -99,7 +99,8 @@
     H.Config = {};
     H.Config.offer(Shared);
     H.Belief = std::make_unique<Upstream>(
-        UpstreamSettings{address(H), H.Entry.Zone, 2s, 1.5, 5}, H.Config, Now);
+        UpstreamSettings{address(H), H.Entry.Zone, 2s, 800ms, 1.5, 5}, H.Config,
+        Now);
     H.Entrance =
         std::make_unique<Gate>(H.Config, *H.Belief, H.Entry.Service, 100, Now);
     beat(H);
--- a/src/opaque/registration.h
+++ b/src/opaque/registration.h
@@ -17,6 +17,9 @@
   /// The entry that should stand in the store; std::nullopt for none.
   void want(std::optional<AgentEntry> Entry) { Wanted_ = std::move(Entry); }
 
+  /// What the store holds is not known: read it first.
+  void doubt() { Unsure_ = true; }
+
   std::optional<Call> next(TimePoint Now) {
     if (UnderWay_ || settled() || !Retry_.over(Now))
       return std::nullopt;
--- a/src/opaque/upstream.cpp
+++ b/src/opaque/upstream.cpp
@@ -64,6 +64,12 @@
   return true;
 }
 
+bool Upstream::ended() const {
+  const Duration Silence = SilentTicks_ * TickInterval;
+  return known() ? Silence >= EndedAfter
+                 : Silence >= AbsentHeartbeats * Settings_.HeartbeatInterval;
+}
+
 void Upstream::tick(TimePoint Now) {
   // A tick that comes late shows that this agent was held up, and with it
   // what the upstream may have sent.
--- a/src/opaque/upstream.h
+++ b/src/opaque/upstream.h
@@ -69,6 +69,8 @@
   /// An address may be given to another upstream so long after its holder
   /// ended.
   Duration AddressReuseAfter = 2s;
+  /// About how often an upstream reports.
+  Duration HeartbeatInterval = 1s;
   /// A cold upstream bears WarmUp::PerSecond times this and ColdSlack.
   double ColdFactor = 1;
   double ColdSlack = 0;
@@ -112,16 +114,17 @@
   uint32_t slots() const { return Beat_.Slots; }
   bool known() const { return !Beat_.Id.empty(); }
   bool left() const { return Left_; }
-  /// Whether it has ended, with its flows: not a sign of life for EndedAfter,
-  /// during all of which this agent was awake.
-  bool ended() const { return SilentTicks_ >= EndedTicks; }
+  /// Whether it has ended, with its flows, or never was there: not a sign of
+  /// life for so long, during all of which this agent was awake.
+  bool ended() const;
   static constexpr Duration TickInterval = 100ms;
   static constexpr Duration EndedAfter = 4s;
+  /// For one that this agent has never heard of.
+  static constexpr double AbsentHeartbeats = 2.5;
   /// Whether its address is sure to be its own still: it was heard of lately.
   bool reachable(TimePoint Now) const { return !silent(Now); }
 
 private:
-  static constexpr uint32_t EndedTicks = EndedAfter / TickInterval;
   bool silent(TimePoint Now) const;
   bool unresponsive(TimePoint Now) const;
   bool cold(TimePoint Now) const;
