An agent without an upstream drops its entry and says so

Change: an agent that hears no heartbeat for 2.5 intervals, or nothing of its upstream for 4 s, removes its entry and reports ended; a balancer does not miss it when it goes. Lost packets are logged with what was unanswered.

--- a/src/node/agent.cpp
+++ b/src/node/agent.cpp
@@ -66,6 +66,7 @@
 }
 
 void Agent::wantEntry() {
+  EntryDropped_ = false;
   Registration_.want(opaque::AgentEntry{Settings_.Name, Gate_.service(),
                                         Settings_.Zone, Settings_.Packets,
                                         Settings_.PeerControl});
@@ -148,8 +149,11 @@
   const opaque::HeartbeatVerdict Verdict = Upstream_.onHeartbeat(Beat, Now);
   if (Verdict == opaque::HeartbeatVerdict::TakenNewStart)
     Gate_.forgetFlows(Now);
-  if (Verdict == opaque::HeartbeatVerdict::TakenNewStart ||
-      Verdict == opaque::HeartbeatVerdict::TakenRunning)
+  const bool Heard = Verdict == opaque::HeartbeatVerdict::TakenNewStart ||
+                     Verdict == opaque::HeartbeatVerdict::TakenRunning ||
+                     Verdict == opaque::HeartbeatVerdict::Taken;
+  if (Heard && (!Registration_.wanted() ||
+                Registration_.wanted()->Service != Gate_.service()))
     wantEntry();
   if (Verdict != opaque::HeartbeatVerdict::Taken)
     Shared_.log(LogClass::State, "heartbeat")
@@ -172,7 +176,7 @@
       .text("upstream", Id)
       .number("current", Current);
   if (Current)
-    Registration_.want(std::nullopt);
+    dropEntry();
   pollRegistration(Now);
   reportIntake(Now);
   flush();
@@ -241,6 +245,16 @@
   sendControl(From, pong(P->Number, Now));
 }
 
+void Agent::dropEntry() {
+  if (EntryDropped_)
+    return;
+  EntryDropped_ = true;
+  Registration_.want(std::nullopt);
+  // An earlier start of this agent may have left one.
+  if (!Registration_.stored())
+    Registration_.doubt();
+}
+
 void Agent::pollRegistration(TimePoint Now) {
   using Call = opaque::Registration::Call;
   const auto Due = Registration_.next(Now);
@@ -314,6 +328,8 @@
   });
   OpenFlows_.set(static_cast<int64_t>(Gate_.openFlows()));
   BusyThousandths_.set(static_cast<int64_t>(Gate_.busy(Now) * 1000));
+  if (Upstream_.ended())
+    dropEntry();
   pollRegistration(Now);
   sayHello(Now);
   const bool Gone = !Registration_.wanted() && Registration_.settled();
@@ -324,11 +340,8 @@
 void Agent::onStop(TimePoint Now) {
   reportIntake(Now);
   const bool UpstreamGone = Upstream_.left() || Upstream_.ended();
-  if (UpstreamGone) {
-    // An earlier start of this agent may have left an entry.
-    Registration_.want(std::nullopt);
-    Registration_.doubt();
-  }
+  if (UpstreamGone)
+    dropEntry();
   ExitAt_ = Now + (UpstreamGone ? LeaveTimeout : StopDelay);
 }
 
--- a/src/node/agent.h
+++ b/src/node/agent.h
@@ -41,6 +41,8 @@
   /// Tells all balancers when the intake has changed.
   void reportIntake(TimePoint Now);
   void wantEntry();
+  /// The upstream is gone: the entry goes, too.
+  void dropEntry();
   void pollRegistration(TimePoint Now);
   void onRegistrationAnswer(opaque::Registration::Call What,
                             const tl::expected<HttpResponse, HttpFailure> &);
@@ -55,6 +57,7 @@
   std::vector<Asker> Askers_;
   opaque::Intake Reported_ = opaque::Intake::Unready;
   TimePoint NextHello_{};
+  bool EntryDropped_ = false;
   TimePoint ExitAt_{};
   std::array<Counter *, opaque::GateReasonNames.size()> Gated_{};
   Counter &Malformed_;
--- a/src/node/balancer.cpp
+++ b/src/node/balancer.cpp
@@ -170,6 +170,9 @@
       .number("manifest", config().manifest().Version)
       .number("echo", Head.Echo)
       .number("queued", Steering_.queuedFlows());
+  if (Action.Why == opaque::SteerReason::Lost)
+    Line.number("unanswered", Action.Unanswered)
+        .number("all_known", Action.AllKnown);
   if (!Action.To)
     return;
   Line.text("agent", Action.To->Entry.Name)
--- a/src/opaque/control.h
+++ b/src/opaque/control.h
@@ -61,9 +61,11 @@
   Silent,    ///< Nothing was heard of the upstream lately, or ever.
   Unready,   ///< The agent has no manifest yet.
   Stopping,  ///< The agent itself is about to stop.
+  Ended,     ///< There is no upstream any more, and no flow.
 };
-constexpr std::array<std::string_view, 7> IntakeNames = {
-    "open", "cold", "draining", "evacuated", "silent", "unready", "stopping"};
+constexpr std::array<std::string_view, 8> IntakeNames = {
+    "open",   "cold",    "draining", "evacuated",
+    "silent", "unready", "stopping", "ended"};
 constexpr std::string_view name(Intake I) {
   return IntakeNames[static_cast<size_t>(I)];
 }
--- a/src/opaque/opaque_test.cpp
+++ b/src/opaque/opaque_test.cpp
@@ -141,6 +141,22 @@
   EXPECT_TRUE(W.Callers[Flow].Reset);
 }
 
+TEST_F(Opaque, AnAgentThatHadNoUpstreamIsNotMissed) {
+  const FlowId Flow = W.open(*First, DeskRoute);
+  FakeHost &Other =
+      W.Hosts[0].Up.Open.count(Flow) ? W.Hosts[2] : W.Hosts[0];
+  Other.Up.Alive = false;
+  W.startAgent(Other);
+  W.run(4s);
+  EXPECT_EQ(Other.Belief->intake(W.Now), Intake::Ended);
+  Other.Running = false;
+  W.restartUpstream(holderOf(Flow));
+  W.run(2s);
+  W.sendData(*First, Flow, 11);
+  W.run(50ms);
+  EXPECT_TRUE(W.Callers[Flow].Reset);
+}
+
 TEST_F(Opaque, AnAgentWithoutAnUpstreamDeniesAfterAWhile) {
   const FlowId Flow = W.open(*First, DeskRoute);
   FakeHost &Other = W.Hosts[0].Up.Open.count(Flow) ? W.Hosts[2] : W.Hosts[0];
--- a/src/opaque/search.cpp
+++ b/src/opaque/search.cpp
@@ -19,7 +19,7 @@
   for (const Agent *A : Agents.of(Service))
     if (!Agents.suspect(*A, Now))
       S.Open.push_back(A->Id);
-    else if (!Agents.givenUp(*A, Now))
+    else if (!Agents.givenUp(*A, Now) && A->Last.State != Intake::Ended)
       S.Incomplete = true;
   return &S;
 }
--- a/src/opaque/steering.cpp
+++ b/src/opaque/steering.cpp
@@ -175,16 +175,23 @@
   });
   if (!S->denied())
     return drop(SteerReason::Asked);
-  SteerAction Action =
-      complete(*S, Now) ? breakOff(Head) : drop(SteerReason::Lost);
+  SteerAction Action = notFound(*S, Head, Now);
   Searches_.erase(Hash);
   return Action;
 }
 
-bool Steering::complete(const Search &S, TimePoint Now) const {
-  const bool AllKnown =
-      ListedAt_ && (PeerHeard_ || Now - *ListedAt_ > SettledAfter);
-  return AllKnown && !S.Incomplete;
+bool Steering::allKnown(TimePoint Now) const {
+  return ListedAt_ && (PeerHeard_ || Now - *ListedAt_ > SettledAfter);
+}
+
+SteerAction Steering::notFound(const Search &S, const PacketHead &Head,
+                               TimePoint Now) const {
+  if (S.denied() && !S.Incomplete && allKnown(Now))
+    return breakOff(Head);
+  SteerAction Action = drop(SteerReason::Lost);
+  Action.Unanswered = S.Open.size() + S.Unsure.size();
+  Action.AllKnown = allKnown(Now);
+  return Action;
 }
 
 std::vector<LateAction> Steering::concluded(Search &S, TimePoint Now) {
@@ -192,8 +199,7 @@
   if (!S.denied())
     return Actions;
   const HeldPacket &Last = S.Waiting.back();
-  Actions.push_back(
-      {complete(S, Now) ? breakOff(Last.Head) : drop(SteerReason::Lost), Last});
+  Actions.push_back({notFound(S, Last.Head, Now), Last});
   Searches_.erase(hashOf(S.Flow));
   return Actions;
 }
@@ -237,8 +243,10 @@
                             .count());
   Cache_.sweep(seconds(Now));
   std::vector<LateAction> Actions;
-  for (Search &S : Searches_.expire(Now))
-    Actions.push_back({drop(SteerReason::Lost), std::move(S.Waiting.back())});
+  for (Search &S : Searches_.expire(Now)) {
+    SteerAction Action = notFound(S, S.Waiting.back().Head, Now);
+    Actions.push_back({std::move(Action), std::move(S.Waiting.back())});
+  }
   Queue_.expire(Now);
   for (const std::string &Service : Queue_.services())
     release(Service, Actions, Now);
--- a/src/opaque/steering.h
+++ b/src/opaque/steering.h
@@ -52,6 +52,9 @@
   /// Reset: one that the caller takes for its own flow.
   uint32_t ResetSequence = 0;
   std::vector<const Agent *> Asked;
+  /// Lost: agents that have not answered, and whether all agents were known.
+  size_t Unanswered = 0;
+  bool AllKnown = false;
 };
 
 /// An action on a packet that has waited.
@@ -102,7 +105,10 @@
                      TimePoint Now);
   /// Ends the search when all agents deny the flow.
   std::vector<LateAction> concluded(Search &S, TimePoint Now);
-  bool complete(const Search &S, TimePoint Now) const;
+  bool allKnown(TimePoint Now) const;
+  /// What becomes of the last packet of a search that found nobody.
+  SteerAction notFound(const Search &S, const PacketHead &Head,
+                       TimePoint Now) const;
   FlowCache::Seconds seconds(TimePoint Now) const;
 
   const Configuration &Config_;
--- a/src/opaque/upstream.cpp
+++ b/src/opaque/upstream.cpp
@@ -123,6 +123,8 @@
     return Intake::Evacuated;
   if (known() && Beat_.Draining)
     return Intake::Draining;
+  if (Left_ || ended())
+    return Intake::Ended;
   if (silent(Now) || unresponsive(Now))
     return Intake::Silent;
   return cold(Now) ? Intake::Cold : Intake::Open;
