Leave a cold agent alone for a moment after it has refused

Load pattern: a second in which all upstreams are cold and 300 flows come; each refusal cost a round of up to six agents.

--- a/src/opaque/directory.cpp
+++ b/src/opaque/directory.cpp
@@ -20,6 +20,10 @@
 /// Keeps balancers with the same view from all choosing the same agent.
 constexpr double JitterCost = 0.15;
 
+/// How long an agent that has refused is left alone while its upstream is
+/// cold: a part of the time until its budget has room again.
+constexpr Duration ColdPause = 50ms;
+
 bool takesFlows(Intake State) {
   return State == Intake::Open || State == Intake::Cold;
 }
@@ -122,6 +126,13 @@
   return It == ByService_.end() ? None : It->second;
 }
 
+void Directory::onRefusal(const std::string &Service, Endpoint Packets,
+                          TimePoint Now) {
+  for (Agent *A : of(Service))
+    if (A->Entry.Packets == Packets && A->Last.State == Intake::Cold)
+      A->RefusesUntil = Now + ColdPause;
+}
+
 uint32_t Directory::triedBit(const Agent &A) {
   return 1u << (static_cast<uint32_t>(A.Id) % Trail::TriedBits);
 }
@@ -143,7 +154,7 @@
   Agent *Best = nullptr;
   std::pair<Tier, double> BestCost;
   for (Agent *A : of(Service)) {
-    if (Tried & triedBit(*A))
+    if ((Tried & triedBit(*A)) || Now < A->RefusesUntil)
       continue;
     Tier Level = Tier::Taking;
     if (!A->everAnswered() || suspect(*A, Now))
--- a/src/opaque/directory.h
+++ b/src/opaque/directory.h
@@ -27,6 +27,8 @@
   uint32_t SentSince = 0;
   /// SYNs that callers had to repeat since LastPong.
   uint32_t Unanswered = 0;
+  /// It is cold, has just refused a new flow, and is not tried again before.
+  TimePoint RefusesUntil{};
   /// It was asked to answer since LastPong, first at this time.
   TimePoint AskedAt{};
 
@@ -84,6 +86,8 @@
   /// The agent of the service that should get a new flow, but for those in
   /// Tried (see triedBit); nullptr when none is left.
   Agent *choose(const std::string &Service, uint32_t Tried, TimePoint Now);
+  /// The agent at this address has refused a new flow.
+  void onRefusal(const std::string &Service, Endpoint Packets, TimePoint Now);
   static uint32_t triedBit(const Agent &A);
   /// All agents of a service.
   const std::vector<Agent *> &of(const std::string &Service) const;
--- a/src/opaque/opaque_test.cpp
+++ b/src/opaque/opaque_test.cpp
@@ -143,8 +143,7 @@
 
 TEST_F(Opaque, AnAgentThatHadNoUpstreamIsNotMissed) {
   const FlowId Flow = W.open(*First, DeskRoute);
-  FakeHost &Other =
-      W.Hosts[0].Up.Open.count(Flow) ? W.Hosts[2] : W.Hosts[0];
+  FakeHost &Other = W.Hosts[0].Up.Open.count(Flow) ? W.Hosts[2] : W.Hosts[0];
   Other.Up.Alive = false;
   W.startAgent(Other);
   W.run(4s);
@@ -348,6 +347,24 @@
   EXPECT_GE(Refused, 15U);
 }
 
+// Replays a second of that load at one balancer: refusals must not cost a
+// round of all agents each.
+TEST_F(Opaque, AnAgentThatHasRefusedIsLeftAloneForAWhile) {
+  for (FakeHost &H : W.Hosts) {
+    H.Running = false;
+    W.restartUpstream(H);
+    W.startAgent(H);
+  }
+  W.run(600ms);
+  W.Offers = 0;
+  for (int I = 0; I < 100; ++I) {
+    W.sendSyn(*First, W.newFlow(DeskRoute));
+    W.run(4ms);
+  }
+  // 100 flows and three agents were 300 offers.
+  EXPECT_LT(W.Offers, 100U);
+}
+
 // Replays a crowd at one moment: what waits at an upstream stays bounded.
 TEST_F(Opaque, AnUpstreamIsNotFilledBeyondWhatItWorksOff) {
   std::vector<FlowId> Flows;
--- a/src/opaque/opaqueworld_test.h
+++ b/src/opaque/opaqueworld_test.h
@@ -78,6 +78,7 @@
   std::map<FlowId, Caller> Callers;
   std::string Broken; ///< The first invariant that did not hold.
   double Loss = 0;
+  size_t Offers = 0;  ///< SYNs that balancers have sent to agents.
   bool Hears = false; ///< Balancers that start hear of all agents from a peer.
 
   FakeHost &addHost(const std::string &Service) {
@@ -264,6 +265,7 @@
     case SteerAction::Kind::Forward:
       break;
     }
+    Offers += Head.opens();
     PacketHead Sent = Head;
     Sent.Bounced = false;
     Sent.Echo = Action.Way.encode();
--- a/src/opaque/steering.cpp
+++ b/src/opaque/steering.cpp
@@ -131,6 +131,17 @@
   }
 }
 
+SteerAction Steering::openingReturned(const PacketHead &Head,
+                                      std::string_view Bytes, const Trail &Way,
+                                      Endpoint From, TimePoint Now) {
+  if (Way.How != Trail::Mode::Place)
+    return drop(SteerReason::Stray);
+  const Route *Route = Config_.manifest().routeAt(Head.Destination);
+  if (Route && Way.Refused)
+    Agents_.onRefusal(Route->Service, From, Now);
+  return place(Head, Bytes, Way, Now);
+}
+
 SteerAction Steering::search(const PacketHead &Head, std::string_view Bytes,
                              TimePoint Now) {
   const FlowId Flow = Head.fromCaller();
@@ -156,8 +167,7 @@
                                Endpoint From, TimePoint Now) {
   const Trail Way = Trail::decode(Head.Echo);
   if (Head.opens())
-    return Way.How == Trail::Mode::Place ? place(Head, Bytes, Way, Now)
-                                         : drop(SteerReason::Stray);
+    return openingReturned(Head, Bytes, Way, From, Now);
   const uint64_t Hash = hashOf(Head.fromCaller());
   if (Way.How == Trail::Mode::Held) {
     Cache_.erase(Hash);
--- a/src/opaque/steering.h
+++ b/src/opaque/steering.h
@@ -96,6 +96,8 @@
 private:
   SteerAction place(const PacketHead &Head, std::string_view Bytes, Trail Way,
                     TimePoint Now);
+  SteerAction openingReturned(const PacketHead &Head, std::string_view Bytes,
+                              const Trail &Way, Endpoint From, TimePoint Now);
   SteerAction queueOrRefuse(const PacketHead &Head, std::string_view Bytes,
                             const Route &Route, TimePoint Now);
   /// Places flows that wait for agents of a service, as many as it can bear.
