--- a/src/node/agent.cpp
+++ b/src/node/agent.cpp
@@ -46,6 +46,9 @@
       StoreChannel_(Shared_.Base.get(), Initial.Store),
       Malformed_(Shared_.Counts.counter({"dragonflystall_packets_malformed",
                                          "Datagrams that are no packet.", ""})),
+      ResponseTimes_(Shared_.Counts.histogram(
+          {"dragonflystall_upstream_response_seconds",
+           "From a request, or the SYN before it, to the first answer.", ""})),
       OpenFlows_(Shared_.Counts.gauge(
           {"dragonflystall_flows", "Flows seen lately.", ""})),
       BusyThousandths_(Shared_.Counts.gauge(
@@ -124,6 +127,8 @@
     FromBalancers_->send({Head->Destination.Ip, Settings_.Packets.Port}, Bytes);
   else if (Action.What == GateAction::Kind::ToBalancer)
     FromBalancers_->send(Action.Balancer, Bytes);
+  if (Action.ResponseTime)
+    ResponseTimes_.record(*Action.ResponseTime);
   if (Action.TellHolder)
     sendControl({Action.Balancer.Ip, Settings_.PeerControl.Port},
                 opaque::Located{Settings_.Name, Head->toCaller(),
--- a/src/node/agent.h
+++ b/src/node/agent.h
@@ -61,6 +61,7 @@
   TimePoint ExitAt_{};
   std::array<Counter *, opaque::GateReasonNames.size()> Gated_{};
   Counter &Malformed_;
+  Histogram &ResponseTimes_;
   Gauge &OpenFlows_;
   Gauge &BusyThousandths_;
 };
--- a/src/opaque/gate.cpp
+++ b/src/opaque/gate.cpp
@@ -137,6 +137,8 @@
   Upstream_.onAnswer(Now);
   Flow &F = It->second;
   F.LastUsed = Now;
+  if (F.Busy && F.HasData && Head.PayloadBytes > 0)
+    Action.ResponseTime = Now - F.BusySince;
   if (Head.PayloadBytes > 0 || Head.Fin || Head.Reset)
     setBusy(F, false, Now);
   if (!Head.Syn && !Head.Reset)
--- a/src/opaque/gate.h
+++ b/src/opaque/gate.h
@@ -45,6 +45,8 @@
   Trail Way;
   /// Tell the balancer that this agent holds the flow.
   bool TellHolder = false;
+  /// ToCaller, the first packet of an answer: how long after the request.
+  std::optional<Duration> ResponseTime = {};
 };
 
 class Gate {
--- a/src/opaque/opaque_test.cpp
+++ b/src/opaque/opaque_test.cpp
@@ -377,6 +377,23 @@
     EXPECT_LE(H.Up.Opening.size(), 12U) << H.Entry.Name;
 }
 
+TEST_F(Opaque, TheFirstAnswerTellsTheResponseTime) {
+  const FlowId Flow = W.open(*First, DeskRoute);
+  FakeHost &Holder = holderOf(Flow);
+  PacketHead Request = W.packet(Flow);
+  Request.PayloadBytes = 10;
+  Request.Sequence = 11;
+  Request.Echo = Trail{Trail::Mode::Held}.encode();
+  Holder.Entrance->fromBalancer(Request, First->Address, W.Now);
+  PacketHead Answer;
+  Answer.Source = Flow.Route;
+  Answer.Destination = Flow.Caller;
+  Answer.PayloadBytes = 100;
+  const TimePoint Later = W.Now + 30ms;
+  EXPECT_EQ(Holder.Entrance->fromUpstream(Answer, Later).ResponseTime, 30ms);
+  EXPECT_FALSE(Holder.Entrance->fromUpstream(Answer, Later).ResponseTime);
+}
+
 // hangar-lund scale-1: repeated packets of answered requests kept agents full
 // for seconds.
 TEST_F(Opaque, ACopyOfAnAnsweredRequestIsNotInProgress) {
