Bound what our HTTP servers read; queue a flow once

Read in the diff: evhttp takes bodies of any size by default; two copies of a SYN that both came back were queued twice. Tests for both, and for the order of the queue. The oversized request ended the test by SIGPIPE: the daemons ignore it, the header now says that users of the channel must.

--- a/src/opaque/opaque_test.cpp
+++ b/src/opaque/opaque_test.cpp
@@ -329,6 +329,29 @@
   EXPECT_GE(Served, 35U);
 }
 
+TEST(OpenQueue, TheMostUrgentGoFirstAndThoseThatCallersGaveUpAreDropped) {
+  OpenQueue Queue;
+  const Route Low = {"desk", 1s, 2};
+  const Route High = {"desk", 1s, 1};
+  const TimePoint Now{100s};
+  const auto HeadOf = [](uint32_t Number) {
+    PacketHead Head;
+    Head.Source = {0x64000000 + Number, 1};
+    Head.Destination = DeskRoute;
+    return Head;
+  };
+  EXPECT_TRUE(Queue.add(HeadOf(1), "a", Low, 3, Now));
+  EXPECT_TRUE(Queue.add(HeadOf(2), "b", High, 3, Now));
+  EXPECT_TRUE(Queue.add(HeadOf(3), "c", Low, 3, Now + 1s));
+  EXPECT_FALSE(Queue.add(HeadOf(4), "d", High, 3, Now));
+  EXPECT_TRUE(Queue.refresh(hashOf(HeadOf(3).fromCaller()), HeadOf(3), "e"));
+  ASSERT_EQ(Queue.take("desk", 1).at(0).Bytes, "b");
+  Queue.expire(Now + 1500ms);
+  const auto Left = Queue.take("desk", 5);
+  ASSERT_EQ(Left.size(), 1U);
+  EXPECT_EQ(Left[0].Bytes, "e");
+}
+
 TEST_F(Opaque, WhatCannotBecomeWarmInTimeIsRefusedAtOnce) {
   for (FakeHost &H : W.Hosts) {
     H.Running = false;
--- a/src/opaque/steering.cpp
+++ b/src/opaque/steering.cpp
@@ -106,6 +106,9 @@
 SteerAction Steering::queueOrRefuse(const PacketHead &Head,
                                     std::string_view Bytes, const Route &Route,
                                     TimePoint Now) {
+  // Two copies of a SYN may have come back.
+  if (Queue_.refresh(hashOf(Head.fromCaller()), Head, Bytes))
+    return drop(SteerReason::Queued);
   const auto RoomAt = Agents_.nextRoom(Route.Service, Now);
   const Duration Patience =
       std::chrono::duration_cast<Duration>(PatienceShare * Route.Timeout);
--- a/src/shell/http.cpp
+++ b/src/shell/http.cpp
@@ -20,6 +20,8 @@
 constexpr int KeepAliveProbes = 2;
 constexpr unsigned UserTimeoutMilliseconds = 2500;
 constexpr int ServerIdleSeconds = 60;
+/// What callers of our servers send is a few hundred bytes.
+constexpr ssize_t MostRequestBytes = 64 << 10;
 
 std::string textOf(uint32_t Ip) {
   const std::string Full = toString(Endpoint{Ip, 0});
@@ -189,6 +191,8 @@
   State_->Http = evhttp_new(Base);
   State_->OnRequest = std::move(OnRequest);
   evhttp_set_timeout(State_->Http, ServerIdleSeconds);
+  evhttp_set_max_body_size(State_->Http, MostRequestBytes);
+  evhttp_set_max_headers_size(State_->Http, MostRequestBytes);
   evhttp_set_gencb(State_->Http, &State::onRequest, State_.get());
 }
 
--- a/src/shell/http.h
+++ b/src/shell/http.h
@@ -1,4 +1,5 @@
-// HTTP/1.1 client and server on one event loop, over libevent.
+// HTTP/1.1 client and server on one event loop, over libevent. The process must
+// ignore SIGPIPE: the other end may close while we write.
 #ifndef DRAGONFLYSTALL_SRC_SHELL_HTTP_H
 #define DRAGONFLYSTALL_SRC_SHELL_HTTP_H
 
--- a/src/shell/http_test.cpp
+++ b/src/shell/http_test.cpp
@@ -1,6 +1,7 @@
 // HTTP between two ends on one loop.
 #include "shell/http.h"
 
+#include <csignal>
 #include <event2/event.h>
 #include <gtest/gtest.h>
 
@@ -14,6 +15,8 @@
       event_base_new(), &event_base_free};
   std::optional<HttpRequest> Seen;
 
+  void SetUp() override { std::signal(SIGPIPE, SIG_IGN); }
+
   tl::expected<HttpResponse, HttpFailure> call(HttpChannel &Channel,
                                                const HttpRequest &Request,
                                                Duration Timeout = 2s) {
@@ -56,6 +59,19 @@
   EXPECT_TRUE(call(Channel, {HttpMethod::Get, "/", ""}));
 }
 
+TEST_F(Http, ARequestThatIsTooLargeDoesNotReachTheHandler) {
+  HttpServer Server(Base.get(), [&](const HttpRequest &Request) {
+    Seen = Request;
+    return emptyAnswer(200);
+  });
+  ASSERT_TRUE(Server.listen(Local));
+  HttpChannel Channel(Base.get(), Local);
+  const auto Answer =
+      call(Channel, {HttpMethod::Post, "/", std::string(1 << 20, 'x')});
+  EXPECT_FALSE(Answer && Answer->Status == 200);
+  EXPECT_FALSE(Seen);
+}
+
 TEST_F(Http, AnAbandonedRequestIsNotAnswered) {
   HttpServer Server(Base.get(),
                     [](const HttpRequest &) { return emptyAnswer(200); });
