--- a/bench/opaquebench.cpp
+++ b/bench/opaquebench.cpp
@@ -29,7 +29,7 @@
   Manifest M;
   M.Version = 1;
   M.Routes[RouteAddress] = {"service", 1s, 1};
-  M.Services["service"] = {2s, 10};
+  M.Services["service"] = {10};
   return M;
 }
 
--- a/src/agent/agentcore_test.cpp
+++ b/src/agent/agentcore_test.cpp
@@ -1,8 +1,8 @@
 // What callers notice when agents, balancers, zones and the store fail. The
 // promises on verdicts are asserted inside the world at every step.
 #include "testworld.h"
+#include "types/environment_test.h"
 
-#include <cstdlib>
 #include <gtest/gtest.h>
 
 namespace dragonflystall::test {
@@ -11,11 +11,6 @@
 constexpr Duration Settle = 8s;
 constexpr Duration Finish = 40s; // Longer than any call may take.
 
-uint64_t fromEnvironment(const char *Name, uint64_t Default) {
-  const char *Text = std::getenv(Name);
-  return Text ? std::strtoull(Text, nullptr, 10) : Default;
-}
-
 WorldOptions options(uint64_t Seed) {
   WorldOptions Options;
   Options.Seed = Seed;
--- a/src/caller/callerrandom_test.cpp
+++ b/src/caller/callerrandom_test.cpp
@@ -1,8 +1,8 @@
 // Random runs of callers against a fake agent over a network that loses,
 // delays, repeats and reorders; invariants over all that ran and was told.
 #include "dragonflystall/caller.h"
+#include "types/environment_test.h"
 
-#include <cstdlib>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <map>
@@ -11,11 +11,6 @@
 namespace dragonflystall {
 namespace {
 
-uint64_t fromEnvironment(const char *Name, uint64_t Default) {
-  const char *Text = std::getenv(Name);
-  return Text ? std::strtoull(Text, nullptr, 10) : Default;
-}
-
 /// Runs each ticket at most once, refuses, forgets, and is silent at random.
 class FakeAgent {
 public:
--- a/src/flows/flowsrandom_test.cpp
+++ b/src/flows/flowsrandom_test.cpp
@@ -1,8 +1,8 @@
 // Random runs over a service's agents, with the promises of this slice checked
 // after each event. DRAGONFLYSTALL_SEED and DRAGONFLYSTALL_RUNS widen them.
 #include "flows/fakecluster_test.h"
+#include "types/environment_test.h"
 
-#include <cstdlib>
 #include <gtest/gtest.h>
 
 namespace dragonflystall::test {
@@ -15,11 +15,6 @@
 constexpr size_t LeastServing = 4;
 
 /// An unsigned number of the environment, or what stands for it.
-uint64_t fromEnvironment(const char *Name, uint64_t Default) {
-  const char *Text = std::getenv(Name);
-  return Text ? std::strtoull(Text, nullptr, 10) : Default;
-}
-
 /// One run: agents come and go while callers keep sending.
 class RandomRun {
 public:
--- a/src/node/agent.cpp
+++ b/src/node/agent.cpp
@@ -24,11 +24,6 @@
 constexpr Duration StopDelay = 200ms;
 constexpr Duration StoreTimeout = 2s;
 
-constexpr int StatusOk = 200;
-constexpr int StatusBadRequest = 400;
-constexpr int StatusNotFound = 404;
-constexpr int StatusConflict = 409;
-
 } // namespace
 
 Agent::Agent(const Settings &Initial, SettingsReader Read)
@@ -44,8 +39,6 @@
       Gate_(config(), Upstream_, Initial.Service, MostFlows, Shared_.now()),
       Registration_(Shared_.Rng()),
       StoreChannel_(Shared_.Base.get(), Initial.Store),
-      Malformed_(Shared_.Counts.counter({"dragonflystall_packets_malformed",
-                                         "Datagrams that are no packet.", ""})),
       ResponseTimes_(Shared_.Counts.histogram(
           {"dragonflystall_upstream_response_seconds",
            "From a request, or the SYN before it, to the first answer.", ""})),
@@ -76,9 +69,9 @@
 }
 
 void Agent::onPacket(Endpoint From, std::string_view Bytes) {
-  const auto Head = platform::decodeHead(Bytes);
+  const auto Head = readHead(Bytes);
   if (!Head)
-    return Malformed_.add();
+    return;
   const TimePoint Now = Shared_.now();
   const GateAction Action = Gate_.fromBalancer(*Head, From, Now);
   Gated_[static_cast<size_t>(Action.Why)]->add();
@@ -95,12 +88,9 @@
   logRefusal(*Head, Action, From, Now);
   if (Action.What != GateAction::Kind::ToBalancer)
     return;
-  std::array<char, MaxDatagramBytes> Copy;
-  std::copy(Bytes.begin(), Bytes.end(), Copy.begin());
-  const std::span<char> Packet(Copy.data(), Bytes.size());
-  platform::writeEcho(Packet, Action.Way.encode());
-  platform::writeBounced(Packet, true);
-  FromBalancers_->send(Action.Balancer, {Packet.data(), Packet.size()});
+  const platform::RewrittenPacket Packet(Bytes, Action.Way.encode(),
+                                         /*Bounced=*/true);
+  FromBalancers_->send(Action.Balancer, Packet.bytes());
 }
 
 void Agent::logRefusal(const opaque::PacketHead &Head, const GateAction &Action,
@@ -117,9 +107,9 @@
 }
 
 void Agent::onUpstreamPacket(std::string_view Bytes) {
-  const auto Head = platform::decodeHead(Bytes);
+  const auto Head = readHead(Bytes);
   if (!Head)
-    return Malformed_.add();
+    return;
   const TimePoint Now = Shared_.now();
   const GateAction Action = Gate_.fromUpstream(*Head, Now);
   Gated_[static_cast<size_t>(Action.Why)]->add();
@@ -138,7 +128,7 @@
 HttpResponse Agent::onRequest(const HttpRequest &Request) {
   const auto Call = platform::decodeUpstreamCall(Request);
   if (!Call)
-    return emptyAnswer(StatusNotFound);
+    return emptyAnswer(HttpStatus::NotFound);
   if (const auto *Leave = std::get_if<platform::LeaveCall>(&*Call))
     return onLeave(Leave->Id);
   const auto &Beat = std::get<platform::HeartbeatCall>(*Call).Beat;
@@ -146,7 +136,7 @@
     return onHeartbeat(*Beat);
   Shared_.log(LogClass::Notable, "heartbeat-unreadable")
       .text("target", Request.Target);
-  return emptyAnswer(StatusBadRequest);
+  return emptyAnswer(HttpStatus::BadRequest);
 }
 
 HttpResponse Agent::onHeartbeat(const opaque::Heartbeat &Beat) {
@@ -171,7 +161,7 @@
   pollRegistration(Now);
   reportIntake(Now);
   flush();
-  return emptyAnswer(StatusOk);
+  return emptyAnswer(HttpStatus::Ok);
 }
 
 HttpResponse Agent::onLeave(const std::string &Id) {
@@ -185,7 +175,7 @@
   pollRegistration(Now);
   reportIntake(Now);
   flush();
-  return emptyAnswer(StatusOk);
+  return emptyAnswer(HttpStatus::Ok);
 }
 
 void Agent::onEvacuations() {
@@ -296,10 +286,10 @@
     return Registration_.onUnknown(Now);
   const int Status = Result->Status;
   const bool Removed =
-      What == opaque::Registration::Call::Remove && Status / 100 == 2;
-  if (Status == StatusNotFound || Removed)
+      What == opaque::Registration::Call::Remove && Result->succeeded();
+  if (Status == HttpStatus::NotFound || Removed)
     return Registration_.onAbsent();
-  if (Status / 100 != 2 && Status != StatusConflict)
+  if (!Result->succeeded() && Status != HttpStatus::Conflict)
     return Registration_.onRefused(Now);
   const auto Object = platform::decodeObject(Result->Body);
   if (!Object)
--- a/src/node/agent.h
+++ b/src/node/agent.h
@@ -60,7 +60,6 @@
   bool EntryDropped_ = false;
   TimePoint ExitAt_{};
   std::array<Counter *, opaque::GateReasonNames.size()> Gated_{};
-  Counter &Malformed_;
   Histogram &ResponseTimes_;
   Gauge &OpenFlows_;
   Gauge &BusyThousandths_;
--- a/src/node/balancer.cpp
+++ b/src/node/balancer.cpp
@@ -56,8 +56,6 @@
                      onAgentObject(Event.What);
                }}),
       RemoveChannel_(Shared_.Base.get(), Initial.Store),
-      Malformed_(Shared_.Counts.counter({"dragonflystall_packets_malformed",
-                                         "Datagrams that are no packet.", ""})),
       AgentsAlive_(Shared_.Counts.gauge(
           {"dragonflystall_agents_alive", "Agents that answer.", ""})),
       AgentsTotal_(Shared_.Counts.gauge(
@@ -99,7 +97,7 @@
 void Balancer::onCallerBatch(std::span<const Datagram> Batch) {
   Heads_.clear();
   for (const Datagram &D : Batch) {
-    Heads_.push_back(platform::decodeHead(D.Bytes));
+    Heads_.push_back(readHead(D.Bytes));
     if (Heads_.back())
       Steering_.prefetch(*Heads_.back());
   }
@@ -110,15 +108,13 @@
     const std::string_view Bytes = Batch[I].Bytes;
     if (Head)
       carryOut(Steering_.fromCaller(*Head, Bytes, Now), *Head, Bytes, Now);
-    else
-      Malformed_.add();
   }
 }
 
 void Balancer::onReturnedDatagram(Endpoint From, std::string_view Bytes) {
-  const auto Head = platform::decodeHead(Bytes);
+  const auto Head = readHead(Bytes);
   if (!Head)
-    return Malformed_.add();
+    return;
   const TimePoint Now = Shared_.now();
   carryOut(Steering_.returned(*Head, Bytes, From, Now), *Head, Bytes, Now);
 }
@@ -141,12 +137,9 @@
     sendControl(Asked->Entry.Control, opaque::Find{Head.fromCaller()});
   if (Action.What != SteerAction::Kind::Forward)
     return;
-  std::array<char, MaxDatagramBytes> Copy;
-  std::copy(Bytes.begin(), Bytes.end(), Copy.begin());
-  const std::span<char> Packet(Copy.data(), Bytes.size());
-  platform::writeEcho(Packet, Action.Way.encode());
-  platform::writeBounced(Packet, false);
-  ToAgents_->send(Action.To->Entry.Packets, {Packet.data(), Packet.size()});
+  const platform::RewrittenPacket Packet(Bytes, Action.Way.encode(),
+                                         /*Bounced=*/false);
+  ToAgents_->send(Action.To->Entry.Packets, Packet.bytes());
 }
 
 void Balancer::carryOut(const std::vector<opaque::LateAction> &Actions,
@@ -189,8 +182,7 @@
     const opaque::Agent *Known = Agents_.find(P->Name);
     if (!Known)
       return;
-    if (!Known->everAnswered() || Agents_.suspect(*Known, Now) ||
-        Known->Last.State != P->State)
+    if (!Agents_.answers(*Known, Now) || Known->Last.State != P->State)
       Shared_.log(LogClass::State, "agent-state")
           .text("agent", P->Name)
           .text("state", name(P->State));
@@ -234,9 +226,8 @@
     const bool WasSuspect = Agents_.suspect(*A, Now - PingInterval);
     Agents_.onPingSent(*A, Now);
     sendControl(A->Entry.Control, Message);
-    const bool Suspect = Agents_.suspect(*A, Now);
-    Alive += A->everAnswered() && !Suspect;
-    if (Suspect && !WasSuspect)
+    Alive += Agents_.answers(*A, Now);
+    if (Agents_.suspect(*A, Now) && !WasSuspect)
       Shared_.log(LogClass::State, "agent-suspected")
           .text("agent", Name)
           .age("silent_ms", opaque::Directory::silentFor(*A, Now));
@@ -265,6 +256,9 @@
         if (!Result)
           Shared_.log(LogClass::Notable, "agent-remove-unanswered")
               .text("cause", Result.error().Text);
+        else if (!Result->succeeded())
+          Shared_.log(LogClass::Notable, "agent-remove-refused")
+              .number("status", Result->Status);
       });
 }
 
--- a/src/node/balancer.h
+++ b/src/node/balancer.h
@@ -50,7 +50,6 @@
   TimePoint StopAt_{};
   TimePoint LastCallerPacket_{};
   std::array<Counter *, opaque::SteerReasonNames.size()> Steered_{};
-  Counter &Malformed_;
   Gauge &AgentsAlive_;
   Gauge &AgentsTotal_;
   Gauge &CachedFlows_;
--- a/src/node/configsource.cpp
+++ b/src/node/configsource.cpp
@@ -14,7 +14,6 @@
 constexpr Duration AskSeedsFor = 3s;
 constexpr Duration FetchInterval = 500ms;
 constexpr Duration FetchTimeout = 1s;
-constexpr int StatusOk = 200;
 
 } // namespace
 
@@ -26,7 +25,7 @@
                  {[this](const platform::Page &P, bool) {
                     onManifests(P.Objects, "store");
                   },
-                  [] {},
+                  nullptr,
                   [this](const platform::Changes &C) {
                     std::vector<platform::Object> Objects;
                     for (const platform::Change &Event : C.Events)
@@ -130,7 +129,7 @@
   Peer_ = std::make_unique<HttpChannel>(Shared_.Base.get(), Peer);
   Peer_->request({HttpMethod::Get, "/state", {}}, FetchTimeout,
                  [this](const tl::expected<HttpResponse, HttpFailure> &Result) {
-                   if (!Result || Result->Status != StatusOk) {
+                   if (!Result || Result->Status != HttpStatus::Ok) {
                      Shared_.log(LogClass::Notable, "peer-state-failed")
                          .text("peer", toString(Peer_->server()));
                      return;
--- a/src/node/kindfollower.cpp
+++ b/src/node/kindfollower.cpp
@@ -10,9 +10,6 @@
 /// A watch answers at the end of its wait at the latest.
 constexpr Duration WatchMargin = 3s;
 
-constexpr int StatusOk = 200;
-constexpr int StatusGone = 410;
-
 } // namespace
 
 void StoreHealth::onAnswer(platform::ObjectKind Kind) {
@@ -69,7 +66,7 @@
 void KindFollower::onListAnswer(const Answer &Result) {
   if (!Result)
     return fail(Result.error().Text);
-  if (Result->Status != StatusOk)
+  if (Result->Status != HttpStatus::Ok)
     return fail(fmt::format("status {}", Result->Status));
   const auto Page = platform::decodePage(Result->Body);
   if (!Page)
@@ -82,7 +79,8 @@
   OnNews_.OnPage(*Page, First);
   if (Watch_.listed()) {
     Lists_ = platform::Consistency::Serializable;
-    OnNews_.OnListed();
+    if (OnNews_.OnListed)
+      OnNews_.OnListed();
   }
   poll(Shared_.now());
 }
@@ -90,7 +88,7 @@
 void KindFollower::onWatchAnswer(const Answer &Result) {
   if (!Result)
     return fail(Result.error().Text);
-  if (Result->Status == StatusGone) {
+  if (Result->Status == HttpStatus::Gone) {
     Shared_.log(LogClass::State, "watch-history-gone")
         .text("kind", name(Kind_))
         .number("revision", Watch_.revision());
@@ -98,7 +96,7 @@
     Watch_.restart();
     return;
   }
-  if (Result->Status != StatusOk)
+  if (Result->Status != HttpStatus::Ok)
     return fail(fmt::format("status {}", Result->Status));
   const auto News = platform::decodeChanges(Result->Body);
   if (!News)
--- a/src/node/kindfollower.h
+++ b/src/node/kindfollower.h
@@ -31,7 +31,7 @@
   struct Handler {
     /// First: what was known before is to be replaced.
     std::function<void(const platform::Page &, bool First)> OnPage;
-    /// The whole list was read, as of a revision.
+    /// The whole list was read, as of a revision; may be empty.
     std::function<void()> OnListed;
     std::function<void(const platform::Changes &)> OnChanges;
   };
--- a/src/node/process.cpp
+++ b/src/node/process.cpp
@@ -1,6 +1,8 @@
 // The frame of a process.
 #include "node/process.h"
 
+#include "platform/packetformat.h"
+
 #include <csignal>
 #include <stdexcept>
 
@@ -10,9 +12,6 @@
 
 /// The settings file may change without a signal.
 constexpr Duration SettingsCheckInterval = 2s;
-constexpr int StatusOk = 200;
-constexpr int StatusNotFound = 404;
-constexpr int StatusUnavailable = 503;
 
 } // namespace
 
@@ -26,9 +25,12 @@
       Http_(Shared_.Base.get(),
             [this](const HttpRequest &Request) { return answer(Request); }),
       Ticker_(Shared_.Base.get(), TickInterval, [this] { tick(); }),
-      Role_(Role), ControlMalformed_(Shared_.Counts.counter(
-                       {"dragonflystall_control_malformed_total",
-                        "Control messages that could not be read.", ""})),
+      Role_(Role), PacketMalformed_(Shared_.Counts.counter(
+                       {"dragonflystall_packets_malformed",
+                        "Datagrams that are no packet.", ""})),
+      ControlMalformed_(Shared_.Counts.counter(
+          {"dragonflystall_control_malformed_total",
+           "Control messages that could not be read.", ""})),
       ManifestVersion_(Shared_.Counts.gauge(
           {"dragonflystall_manifest_version", "The manifest in force.", ""})),
       StoreUp_(Shared_.Counts.gauge(
@@ -91,6 +93,13 @@
     throw std::runtime_error(toString(Local) + ": cannot listen");
 }
 
+std::optional<opaque::PacketHead> Process::readHead(std::string_view Bytes) {
+  auto Head = platform::decodeHead(Bytes);
+  if (!Head)
+    PacketMalformed_.add();
+  return Head;
+}
+
 void Process::sendControl(Endpoint To, const opaque::ControlMessage &Message) {
   Control_->send(To, opaque::encode(Message));
 }
@@ -124,7 +133,6 @@
     return;
   Settings_ = std::move(*Fresh);
   Config_.setSeeds(Settings_.Seeds);
-  onSettings(Settings_);
   Shared_.log(LogClass::State, "reload").text("cause", Cause);
 }
 
@@ -147,16 +155,17 @@
 }
 
 HttpResponse Process::onRequest(const HttpRequest &) {
-  return emptyAnswer(StatusNotFound);
+  return emptyAnswer(HttpStatus::NotFound);
 }
 
 HttpResponse Process::answer(const HttpRequest &Request) {
   const std::string Path = pathOf(Request.Target);
   if (Path == "/ready")
-    return emptyAnswer(ready() && !Stopping_ ? StatusOk : StatusUnavailable);
+    return emptyAnswer(ready() && !Stopping_ ? HttpStatus::Ok
+                                             : HttpStatus::Unavailable);
   if (Path == "/state")
     return {
-        StatusOk,
+        HttpStatus::Ok,
         platform::encodePeerState({Config_.manifestContent(),
                                    config().evacuations(), agentsForPeers()}),
         std::string(JsonContent)};
@@ -169,7 +178,7 @@
     for (const auto &Socket : Sockets_)
       Dropped += static_cast<int64_t>(Socket->dropped());
     DatagramsDropped_.set(Dropped);
-    return {StatusOk, Shared_.Counts.prometheusText(),
+    return {HttpStatus::Ok, Shared_.Counts.prometheusText(),
             "text/plain; version=0.0.4"};
   }
   return onRequest(Request);
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -37,7 +37,6 @@
   virtual void onManifest() {}
   virtual void onEvacuations() {}
   virtual void onPeerAgents(const std::vector<opaque::AgentEntry> &) {}
-  virtual void onSettings(const Settings &) {}
   /// Told to stop: calls finish() when it is done.
   virtual void onStop(TimePoint Now) = 0;
   virtual bool ready() const = 0;
@@ -51,6 +50,8 @@
   UdpSocket &bindUdpBatches(Endpoint Local, UdpSocket::BatchReceiver Each);
   /// Throws std::runtime_error.
   void listenHttp(Endpoint Local);
+  /// std::nullopt for a datagram that is no packet, which is counted.
+  std::optional<opaque::PacketHead> readHead(std::string_view Bytes);
   void sendControl(Endpoint To, const opaque::ControlMessage &Message);
   void flush();
   void finish();
@@ -79,6 +80,7 @@
   TimePoint NextSettingsCheck_{};
   bool Stopping_ = false;
   std::string Role_;
+  Counter &PacketMalformed_;
   Counter &ControlMalformed_;
   Gauge &ManifestVersion_;
   Gauge &StoreUp_;
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -38,7 +38,6 @@
   Duration HeartbeatInterval = 1s;
   double ColdFactor = 1;
   double ColdSlack = 0;
-  size_t MemoryBytes = 0;
 
   friend bool operator==(const Settings &, const Settings &) = default;
 };
--- a/src/objectstore/linkcore_test.cpp
+++ b/src/objectstore/linkcore_test.cpp
@@ -2,6 +2,7 @@
 // loses answers. DRAGONFLYSTALL_SEED and DRAGONFLYSTALL_RUNS make other and
 // longer random runs.
 #include "fakeplatform_test.h"
+#include "types/environment_test.h"
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
@@ -23,11 +24,6 @@
   return static_cast<uint64_t>(Time / WatchWait) + 1;
 }
 
-uint64_t fromEnvironment(const char *Name, uint64_t Otherwise) {
-  const char *Text = std::getenv(Name);
-  return Text ? std::strtoull(Text, nullptr, 10) : Otherwise;
-}
-
 Roster rosterOf(const std::string &Name, const std::vector<uint32_t> &Ids) {
   Roster R;
   R.Service = serviceId("a", Name);
--- a/src/opaque/directory.cpp
+++ b/src/opaque/directory.cpp
@@ -35,16 +35,14 @@
 
 Agent &Directory::upsert(const AgentEntry &Entry, TimePoint Now) {
   std::unique_ptr<Agent> &Place = Agents_[Entry.Name];
-  const bool Changed = !Place || !(Place->Entry == Entry);
-  if (!Place || !(Place->Entry == Entry)) {
-    Place = std::make_unique<Agent>();
-    Place->Id = agentId(Entry.Name);
-    Place->Entry = Entry;
-    Place->FirstSeen = Now;
-  }
-  if (Changed)
-    rebuild();
-  return *Agents_[Entry.Name];
+  if (Place && Place->Entry == Entry)
+    return *Place;
+  Place = std::make_unique<Agent>();
+  Place->Id = agentId(Entry.Name);
+  Place->Entry = Entry;
+  Place->FirstSeen = Now;
+  rebuild();
+  return *Place;
 }
 
 void Directory::list(const AgentEntry &Entry, int64_t Revision, TimePoint Now) {
@@ -90,7 +88,7 @@
 void Directory::expire(TimePoint Now) {
   std::vector<std::string> Gone;
   for (const auto &[Name, A] : Agents_)
-    if (!A->listed() && Now - std::max(A->LastPong, A->FirstSeen) > ForgetAfter)
+    if (!A->listed() && Now - A->lastSeen() > ForgetAfter)
       Gone.push_back(Name);
   for (const std::string &Name : Gone)
     erase(Name);
@@ -157,7 +155,7 @@
     if ((Tried & triedBit(*A)) || Now < A->RefusesUntil)
       continue;
     Tier Level = Tier::Taking;
-    if (!A->everAnswered() || suspect(*A, Now))
+    if (!answers(*A, Now))
       Level = Tier::Unknown;
     else if (!takesFlows(A->Last.State))
       continue; // It tells at once when that changes.
@@ -174,7 +172,7 @@
                                              TimePoint Now) const {
   std::optional<TimePoint> Next;
   for (const Agent *A : of(Service)) {
-    if (!A->everAnswered() || suspect(*A, Now))
+    if (!answers(*A, Now))
       continue;
     const bool Warming =
         A->Last.State == Intake::Cold && A->Last.ColdFor > Duration::zero();
@@ -196,7 +194,7 @@
 size_t Directory::openSlotsOf(const std::string &Service, TimePoint Now) const {
   size_t Slots = 0;
   for (const Agent *A : of(Service))
-    if (A->everAnswered() && A->Last.State == Intake::Open && !suspect(*A, Now))
+    if (answers(*A, Now) && A->Last.State == Intake::Open)
       Slots += A->Last.Slots;
   return Slots;
 }
@@ -205,9 +203,8 @@
   std::vector<const Agent *> Result;
   size_t Answering = 0;
   for (const auto &[Name, A] : Agents_) {
-    Answering += A->everAnswered() && !suspect(*A, Now);
-    const TimePoint Alive = std::max(A->LastPong, A->FirstSeen);
-    if (A->listed() && suspect(*A, Now) && Now - Alive > RemoveAfter)
+    Answering += answers(*A, Now);
+    if (A->listed() && suspect(*A, Now) && Now - A->lastSeen() > RemoveAfter)
       Result.push_back(A.get());
   }
   // A balancer that hears of nobody is itself the one that is cut off.
--- a/src/opaque/directory.h
+++ b/src/opaque/directory.h
@@ -6,6 +6,7 @@
 #include "dragonflystall/clock.h"
 #include "opaque/control.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <unordered_map>
@@ -34,6 +35,7 @@
 
   bool listed() const { return Revision != 0; }
   bool everAnswered() const { return LastPong != TimePoint{}; }
+  TimePoint lastSeen() const { return std::max(LastPong, FirstSeen); }
 };
 
 class Directory {
@@ -79,6 +81,10 @@
   bool givenUp(const Agent &A, TimePoint Now) const {
     return silentFor(A, Now) > GiveUpAfter;
   }
+  /// It has answered, and does so still.
+  bool answers(const Agent &A, TimePoint Now) const {
+    return A.everAnswered() && !suspect(A, Now);
+  }
   /// How long it has been asked without an answer.
   static Duration silentFor(const Agent &A, TimePoint Now) {
     return A.AskedAt == TimePoint{} ? Duration::zero() : Now - A.AskedAt;
--- a/src/opaque/manifest.h
+++ b/src/opaque/manifest.h
@@ -20,7 +20,6 @@
 
 /// How many new flows an upstream bears while it warms up.
 struct WarmUp {
-  Duration Length{};
   double PerSecond = 0;
 };
 
--- a/src/opaque/opaqueworld_test.h
+++ b/src/opaque/opaqueworld_test.h
@@ -66,8 +66,8 @@
     Shared.Version = 1;
     Shared.Routes[DeskRoute] = {"desk", 1s, 1};
     Shared.Routes[PrintRoute] = {"print", 3s, 2};
-    Shared.Services["desk"] = {2s, 0};
-    Shared.Services["print"] = {2s, 0};
+    Shared.Services["desk"] = {0};
+    Shared.Services["print"] = {0};
   }
 
   Random Rng;
--- a/src/requests/invariant_test.cpp
+++ b/src/requests/invariant_test.cpp
@@ -2,8 +2,8 @@
 // inside the world. DRAGONFLYSTALL_SEED and DRAGONFLYSTALL_RUNS (thousands of
 // events) make longer runs.
 #include "testworldimpl.h"
+#include "types/environment_test.h"
 
-#include <cstdlib>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
@@ -158,11 +158,6 @@
 
 namespace {
 
-uint64_t fromEnvironment(const char *Name, uint64_t Default) {
-  const char *Text = std::getenv(Name);
-  return Text == nullptr ? Default : std::strtoull(Text, nullptr, 10);
-}
-
 TEST(Invariants, HoldUnderFaults) {
   const uint64_t Seed = fromEnvironment("DRAGONFLYSTALL_SEED", 1);
   const uint64_t Thousands = fromEnvironment("DRAGONFLYSTALL_RUNS", 40);
--- a/src/settings/exchange_test.cpp
+++ b/src/settings/exchange_test.cpp
@@ -1,8 +1,8 @@
 // Processes that exchange settings among themselves while the platform is
 // away, in virtual time, with messages that are late, lost and doubled.
 #include "settings/exchange.h"
+#include "types/environment_test.h"
 
-#include <cstdlib>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <map>
@@ -16,11 +16,6 @@
 constexpr uint64_t DefaultSeed = 20261204;
 constexpr uint64_t DefaultRuns = 20;
 
-uint64_t fromEnvironment(const char *Name, uint64_t Otherwise) {
-  const char *Text = std::getenv(Name);
-  return Text ? std::strtoull(Text, nullptr, 10) : Otherwise;
-}
-
 struct Process {
   SettingsView View;
   std::unique_ptr<SettingsExchange> Exchange;
--- a/src/shell/http.h
+++ b/src/shell/http.h
@@ -21,6 +21,16 @@
   return HttpMethodNames[static_cast<size_t>(M)];
 }
 
+/// The status codes that we send or tell apart.
+struct HttpStatus {
+  static constexpr int Ok = 200;
+  static constexpr int BadRequest = 400;
+  static constexpr int NotFound = 404;
+  static constexpr int Conflict = 409;
+  static constexpr int Gone = 410;
+  static constexpr int Unavailable = 503;
+};
+
 struct HttpRequest {
   HttpMethod Method = HttpMethod::Get;
   std::string Target; ///< Path and query.
@@ -33,6 +43,8 @@
   int Status = 0;
   std::string Body;
   std::string ContentType;
+
+  bool succeeded() const { return Status / 100 == 2; }
 };
 
 /// An empty JSON object.
--- a/src/steering/balancerrun_test.cpp
+++ b/src/steering/balancerrun_test.cpp
@@ -4,10 +4,10 @@
 // DRAGONFLYSTALL_SEED and DRAGONFLYSTALL_RUNS make other and longer runs.
 #include "steering/balancercore.h"
 #include "steering/steeringworld.h"
+#include "types/environment_test.h"
 
 #include <gtest/gtest.h>
 
-#include <cstdlib>
 #include <map>
 
 namespace dragonflystall {
@@ -23,11 +23,6 @@
 constexpr uint32_t Addresses = 4;
 const std::vector<std::string> ServiceNames = {"tags", "receipts", "manuals"};
 
-uint64_t fromEnvironment(const char *Name, uint64_t Default) {
-  const char *Text = std::getenv(Name);
-  return Text ? std::strtoull(Text, nullptr, 10) : Default;
-}
-
 class RandomRun {
 public:
   explicit RandomRun(uint64_t Seed) : Engine_(Seed) {}
