Leave upstreams alone that fail requests while others have room

The agent now counts how requests end, as far as the heads of the packets show: answered, reset or closed without an answer, overdue (six times the mean response time, 250 ms to 1 s), lost in a crash. Its pongs carry the share, and balancers add it to the cost of the agent; the counts lose half their weight in two seconds, so that the upstream is tried again. Ruled out: reading answers (an error that comes as an answer, a 429 or 500, is for the two ends only), resetting open flows of a failing upstream.

--- a/src/node/agent.cpp
+++ b/src/node/agent.cpp
@@ -23,6 +23,9 @@
 /// still pass.
 constexpr Duration StopDelay = 200ms;
 constexpr Duration StoreTimeout = 2s;
+/// Shares of failed requests at which the log says so, and says that it ends.
+constexpr double FailingBegins = 0.2;
+constexpr double FailingEnds = 0.1;
 
 } // namespace
 
@@ -44,9 +47,12 @@
            "From a request, or the SYN before it, to the first answer.", ""})),
       OpenFlows_(Shared_.Counts.gauge(
           {"dragonflystall_flows", "Flows seen lately.", ""})),
-      BusyThousandths_(Shared_.Counts.gauge(
-          {"dragonflystall_busy_thousandths",
-           "Requests in progress, a thousand each.", ""})) {
+      BusyThousandths_(
+          Shared_.Counts.gauge({"dragonflystall_busy_thousandths",
+                                "Requests in progress, a thousand each.", ""})),
+      FailingThousandths_(Shared_.Counts.gauge(
+          {"dragonflystall_failing_thousandths",
+           "Requests of a thousand that failed lately.", ""})) {
   for (size_t I = 0; I < Gated_.size(); ++I)
     Gated_[I] = &Shared_.Counts.counter(
         {"dragonflystall_packets_gated_total", "Packets by what was decided.",
@@ -198,6 +204,7 @@
   P.Slots = Upstream_.slots();
   P.OpenFlows = Gate_.openFlows();
   P.Busy = Gate_.busy(Now);
+  P.Failing = Gate_.failing();
   P.Http = Settings_.Peers;
   return P;
 }
@@ -240,6 +247,18 @@
   sendControl(From, pong(P->Number, Now));
 }
 
+void Agent::watchOutcomes() {
+  const double Share = Gate_.failing();
+  FailingThousandths_.set(static_cast<int64_t>(Share * 1000));
+  const bool Failing = Share > (Failing_ ? FailingEnds : FailingBegins);
+  if (Failing == Failing_)
+    return;
+  Failing_ = Failing;
+  Shared_.log(LogClass::State, Failing ? "upstream-failing" : "upstream-mended")
+      .text("upstream", Upstream_.id())
+      .number("failed_share", Share);
+}
+
 void Agent::dropEntry() {
   if (EntryDropped_)
     return;
@@ -323,6 +342,7 @@
   });
   OpenFlows_.set(static_cast<int64_t>(Gate_.openFlows()));
   BusyThousandths_.set(static_cast<int64_t>(Gate_.busy(Now) * 1000));
+  watchOutcomes();
   if (Upstream_.ended())
     dropEntry();
   pollRegistration(Now);
--- a/src/node/agent.h
+++ b/src/node/agent.h
@@ -40,6 +40,8 @@
   opaque::Intake intake(TimePoint Now) const;
   /// Tells all balancers when the intake has changed.
   void reportIntake(TimePoint Now);
+  /// Logs when requests begin to fail, and when they no longer do.
+  void watchOutcomes();
   void wantEntry();
   /// The upstream is gone: the entry goes, too.
   void dropEntry();
@@ -58,11 +60,13 @@
   opaque::Intake Reported_ = opaque::Intake::Unready;
   TimePoint NextHello_{};
   bool EntryDropped_ = false;
+  bool Failing_ = false;
   TimePoint ExitAt_{};
   std::array<Counter *, opaque::GateReasonNames.size()> Gated_{};
   Histogram &ResponseTimes_;
   Gauge &OpenFlows_;
   Gauge &BusyThousandths_;
+  Gauge &FailingThousandths_;
 };
 
 } // namespace dragonflystall::node
--- a/src/node/balancer.cpp
+++ b/src/node/balancer.cpp
@@ -171,6 +171,7 @@
   Line.text("agent", Action.To->Entry.Name)
       .text("state", name(Action.To->Last.State))
       .number("busy", Action.To->Last.Busy)
+      .number("failing", Action.To->Last.Failing)
       .number("sent_since", Action.To->SentSince);
   if (Action.To->everAnswered())
     Line.age("report_age_ms", Now - Action.To->LastPong);
--- a/src/opaque/control.cpp
+++ b/src/opaque/control.cpp
@@ -29,7 +29,7 @@
 Json toJson(const Pong &P) {
   return {Kind::Pong,      P.Name,  P.Service,         P.Number,
           toJson(P.Knows), P.State, toJson(P.ColdFor), P.Slots,
-          P.OpenFlows,     P.Busy,  toJson(P.Http)};
+          P.OpenFlows,     P.Busy,  P.Failing,         toJson(P.Http)};
 }
 Json toJson(const Find &F) {
   return {Kind::Find, toJson(F.Flow.Caller), toJson(F.Flow.Route)};
@@ -112,6 +112,7 @@
   P.Slots = std::max<uint32_t>(1, R.number<uint32_t>());
   P.OpenFlows = R.number<uint32_t>();
   P.Busy = R.next().get<double>();
+  P.Failing = R.next().get<double>();
   P.Http = R.endpoint();
   return P;
 }
--- a/src/opaque/control.h
+++ b/src/opaque/control.h
@@ -84,6 +84,8 @@
   uint32_t OpenFlows = 0;
   /// Requests in progress, averaged over the last second.
   double Busy = 0;
+  /// Share of the requests that failed lately, 0 to 1.
+  double Failing = 0;
   Endpoint Http;
 };
 
--- a/src/opaque/directory.cpp
+++ b/src/opaque/directory.cpp
@@ -17,6 +17,9 @@
 constexpr double ColdCost = 1.0;
 /// What each repeated SYN weighs, as a share of all slots.
 constexpr double UnansweredCost = 0.5;
+/// What an upstream that fails all its requests weighs, as a share of all
+/// slots: while others have room, one that fails a few is left alone.
+constexpr double FailingCost = 12.0;
 /// Keeps balancers with the same view from all choosing the same agent.
 constexpr double JitterCost = 0.15;
 
@@ -140,6 +143,7 @@
   double Cost = (A.Last.Busy + A.SentSince) / Slots;
   Cost += OpenFlowWeight * A.Last.OpenFlows / Slots;
   Cost += UnansweredCost * A.Unanswered;
+  Cost += FailingCost * A.Last.Failing;
   if (A.Entry.Zone != Zone_)
     Cost += OtherZoneCost;
   if (A.Last.State == Intake::Cold)
--- a/src/opaque/gate.cpp
+++ b/src/opaque/gate.cpp
@@ -84,7 +84,7 @@
 }
 
 void Gate::endOpenings(TimePoint Now) {
-  for (; !Openings_.empty() && Now - Openings_.front().PassedAt > OpeningLength;
+  for (; !Openings_.empty() && Now - Openings_.front().At > OpeningLength;
        Openings_.pop_front()) {
     const auto It = Flows_.find(Openings_.front().Hash);
     if (It != Flows_.end() && !It->second.Confirmed && !It->second.HasData)
@@ -92,6 +92,44 @@
   }
 }
 
+void Gate::begin(Flow &F, uint64_t Hash, TimePoint Now) {
+  setBusy(F, true, Now);
+  F.Overdue = false;
+  Requests_.push_back({Hash, Now});
+}
+
+std::optional<Duration> Gate::end(Flow &F, const PacketHead &Head,
+                                  TimePoint Now) {
+  const bool Answer = Head.PayloadBytes > 0;
+  if (!Answer && !Head.Fin && !Head.Reset)
+    return std::nullopt;
+  const bool WasRequest = F.Busy && F.HasData;
+  const Duration Took = Now - F.BusySince;
+  setBusy(F, false, Now);
+  if (!WasRequest)
+    return std::nullopt;
+  if (Answer) {
+    Outcomes_.onAnswered(Took);
+    return Took;
+  }
+  if (!F.Overdue)
+    Outcomes_.onFailed(1);
+  return std::nullopt;
+}
+
+void Gate::countOverdue(TimePoint Now) {
+  const Duration Patience = Outcomes_.patience();
+  for (; !Requests_.empty() && Now - Requests_.front().At > Patience;
+       Requests_.pop_front()) {
+    const auto It = Flows_.find(Requests_.front().Hash);
+    if (It == Flows_.end() || !It->second.Busy || It->second.Overdue ||
+        Now - It->second.BusySince <= Patience)
+      continue;
+    It->second.Overdue = true;
+    Outcomes_.onFailed(1);
+  }
+}
+
 GateAction Gate::fromBalancer(const PacketHead &Head, Endpoint Balancer,
                               TimePoint Now) {
   const Trail Way = Trail::decode(Head.Echo);
@@ -104,13 +142,14 @@
     return refuse(Head, Balancer, GateReason::WrongService);
   if (!passable(Way, Now))
     return refuse(Head, Balancer, GateReason::NotTaking);
-  Flow &F = Flows_[hashOf(Head.fromCaller())];
+  const uint64_t Hash = hashOf(Head.fromCaller());
+  Flow &F = Flows_[Hash];
   if (Way.How == Trail::Mode::Search)
     F.Searched = true;
   F.Balancer = Balancer;
   F.LastUsed = Now;
   if (newData(F, Head))
-    setBusy(F, true, Now);
+    begin(F, Hash, Now);
   return toUpstream(GateReason::Passed);
 }
 
@@ -137,10 +176,7 @@
   Upstream_.onAnswer(Now);
   Flow &F = It->second;
   F.LastUsed = Now;
-  if (F.Busy && F.HasData && Head.PayloadBytes > 0)
-    Action.ResponseTime = Now - F.BusySince;
-  if (Head.PayloadBytes > 0 || Head.Fin || Head.Reset)
-    setBusy(F, false, Now);
+  Action.ResponseTime = end(F, Head, Now);
   if (!Head.Syn && !Head.Reset)
     F.Confirmed = true;
   if (F.Searched && !Head.Reset) {
@@ -189,8 +225,10 @@
 
 void Gate::forgetFlows(TimePoint Now) {
   averageBusy(Now);
+  Outcomes_.onFailed(BusyFlows_);
   Flows_.clear();
   Openings_.clear();
+  Requests_.clear();
   BusyFlows_ = 0;
   // It can hold no flow that was not seen here.
   SeesAllSince_.reset();
@@ -198,6 +236,8 @@
 
 void Gate::tick(TimePoint Now) {
   endOpenings(Now);
+  countOverdue(Now);
+  Outcomes_.age(Now);
   if (Now - SweptAt_ < SweepInterval)
     return;
   SweptAt_ = Now;
--- a/src/opaque/gate.h
+++ b/src/opaque/gate.h
@@ -5,6 +5,7 @@
 #define DRAGONFLYSTALL_SRC_OPAQUE_GATE_H
 
 #include "opaque/control.h"
+#include "opaque/outcomes.h"
 #include "opaque/trail.h"
 #include "opaque/upstream.h"
 
@@ -78,6 +79,8 @@
   size_t openFlows() const { return Flows_.size(); }
   /// Requests in progress, averaged over about a second.
   double busy(TimePoint Now);
+  /// Share of the requests that failed lately; see Outcomes.
+  double failing() const { return Outcomes_.failing(); }
 
 private:
   struct Flow {
@@ -86,6 +89,7 @@
     bool HasData = false;  ///< Its caller has sent data.
     bool Searched = false; ///< The balancer does not know that it is here.
     bool Confirmed = false;    ///< The upstream has answered on the open flow.
+    bool Overdue = false;      ///< Its request was counted as failed.
     uint32_t NextSequence = 0; ///< Behind its caller's data so far.
     TimePoint BusySince{};
     TimePoint LastUsed{};
@@ -101,6 +105,13 @@
   /// Whether the upstream has room for one more new flow.
   bool roomFor(const Trail &Way) const;
   void endOpenings(TimePoint Now);
+  /// A caller has sent a request.
+  void begin(Flow &F, uint64_t Hash, TimePoint Now);
+  /// Counts how a request ended, if this packet of the upstream ends one, and
+  /// returns how long its answer took.
+  std::optional<Duration> end(Flow &F, const PacketHead &Head, TimePoint Now);
+  /// Counts requests whose answer does not come as failed.
+  void countOverdue(TimePoint Now);
   void setBusy(Flow &F, bool Busy, TimePoint Now);
   void averageBusy(TimePoint Now);
 
@@ -109,11 +120,13 @@
   std::string Service_; ///< By the settings, until the upstream says its own.
   std::unordered_map<uint64_t, Flow> Flows_;
   uint32_t BusyFlows_ = 0; ///< Flows with Busy set.
-  struct Opening {
+  struct Passage {
     uint64_t Hash;
-    TimePoint PassedAt;
+    TimePoint At;
   };
-  std::deque<Opening> Openings_; ///< SYNs passed lately, oldest first.
+  std::deque<Passage> Openings_; ///< SYNs passed lately, oldest first.
+  std::deque<Passage> Requests_; ///< Requests begun lately, oldest first.
+  Outcomes Outcomes_;
   double BusyAverage_ = 0;
   TimePoint AveragedAt_{};
   TimePoint SweptAt_{};
--- a/src/opaque/opaque_test.cpp
+++ b/src/opaque/opaque_test.cpp
@@ -402,6 +402,54 @@
   EXPECT_LT(Holder.Entrance->busy(W.Now), 0.05);
 }
 
+/// Opens flows for a while and returns which share of them an upstream got.
+double shareOf(World &W, FakeBalancer &B, const FakeHost &H, int Flows) {
+  const size_t Before = H.Up.Syns.size();
+  for (int I = 0; I < Flows; ++I)
+    W.open(B, DeskRoute);
+  return static_cast<double>(H.Up.Syns.size() - Before) / Flows;
+}
+
+// hangar-lund grown, srv_grey: an upstream that fails half of its requests at
+// once seemed idle, and those that came back with a new flow met it again.
+TEST_F(Opaque, AnUpstreamThatFailsRequestsIsLeftAloneWhileOthersHaveRoom) {
+  FakeHost &Near = W.Hosts[2]; // The only one in the balancer's zone.
+  EXPECT_GT(shareOf(W, *First, Near, 50), 0.35);
+  for (const bool Silently : {false, true}) {
+    Near.Up.FailsOfTen = 5;
+    Near.Up.FailsSilently = Silently;
+    shareOf(W, *First, Near, 50);
+    EXPECT_LT(shareOf(W, *First, Near, 200), 0.25) << "silent " << Silently;
+    Near.Up.FailsOfTen = 0;
+    W.run(15s);
+    EXPECT_GT(shareOf(W, *First, Near, 50), 0.35);
+  }
+}
+
+TEST_F(Opaque, AnUpstreamThatFailsIsUsedWhenThereIsNoOther) {
+  for (FakeHost &H : W.Hosts)
+    H.Up.FailsOfTen = 5;
+  for (int I = 0; I < 50; ++I)
+    W.open(*First, DeskRoute);
+  W.run(1s);
+  const FlowId Flow = W.open(*First, DeskRoute);
+  EXPECT_TRUE(W.Callers[Flow].SynAcked);
+}
+
+TEST_F(Opaque, ACrashThatLosesRequestsCountsAsTheirFailure) {
+  const FlowId Flow = W.newFlow(DeskRoute);
+  W.sendSyn(*First, Flow);
+  W.run(20ms);
+  FakeHost &Near = W.Hosts[2];
+  Near.Up.FailsOfTen = 10;
+  Near.Up.FailsSilently = true;
+  W.sendData(*First, Flow);
+  W.run(20ms);
+  EXPECT_EQ(Near.Entrance->failing(), 0);
+  W.restartUpstream(Near);
+  EXPECT_GT(Near.Entrance->failing(), 0.1);
+}
+
 TEST_F(Opaque, AHeartbeatThatComesLateChangesNothing) {
   FakeHost &H = W.Hosts.front();
   Heartbeat Late;
--- a/src/opaque/opaqueparts_test.cpp
+++ b/src/opaque/opaqueparts_test.cpp
@@ -2,6 +2,7 @@
 #include "opaque/control.h"
 #include "opaque/directory.h"
 #include "opaque/openqueue.h"
+#include "opaque/outcomes.h"
 #include "opaque/registration.h"
 #include "opaque/storewatch.h"
 #include "opaque/trail.h"
@@ -52,6 +53,35 @@
   EXPECT_TRUE(C.evacuated("a"));
 }
 
+TEST(Outcomes, FailuresShowAndAreForgotten) {
+  Outcomes O;
+  TimePoint Now{100s};
+  O.age(Now);
+  EXPECT_EQ(O.failing(), 0);
+  O.onFailed(1);
+  EXPECT_LT(O.failing(), 0.3); // One alone says little.
+  for (int I = 0; I < 50; ++I) {
+    Now += 10ms;
+    O.age(Now);
+    I % 2 ? O.onFailed(1) : O.onAnswered(20ms);
+  }
+  EXPECT_NEAR(O.failing(), 0.5, 0.1);
+  O.age(Now + 10 * Outcomes::HalfLife);
+  EXPECT_LT(O.failing(), 0.02);
+}
+
+TEST(Outcomes, PatienceFollowsTheResponseTime) {
+  Outcomes O;
+  const Duration Before = O.patience();
+  for (int I = 0; I < 100; ++I)
+    O.onAnswered(80ms);
+  EXPECT_LT(O.patience(), Before);
+  EXPECT_GT(O.patience(), 300ms);
+  for (int I = 0; I < 200; ++I)
+    O.onAnswered(800ms);
+  EXPECT_EQ(O.patience(), Before);
+}
+
 TEST(SlidingBudget, HoldsInEachSpan) {
   SlidingBudget Budget;
   std::deque<TimePoint> Spent;
--- a/src/opaque/opaquerandom_test.cpp
+++ b/src/opaque/opaquerandom_test.cpp
@@ -61,6 +61,9 @@
     case 8:
       toggleRoute();
       break;
+    case 9:
+      host().Up.FailsOfTen = W.Rng() % 2 ? 0 : W.Rng() % 10;
+      break;
     default:
       traffic();
     }
--- a/src/opaque/opaqueworld_test.h
+++ b/src/opaque/opaqueworld_test.h
@@ -28,6 +28,10 @@
   bool Draining = false;
   /// Not yet there: it resets what it gets, and has not reported.
   bool Starting = false;
+  /// How many of its requests in ten fail, and whether it resets them or is
+  /// silent.
+  uint32_t FailsOfTen = 0;
+  bool FailsSilently = false;
   TimePoint ColdUntil{};
   std::set<FlowId> Open;
   std::set<FlowId> Opening;
@@ -362,7 +366,11 @@
     }
     PacketHead Reply;
     Reply.Ack = true;
-    Reply.PayloadBytes = 100;
+    const bool Fails = U.FailsOfTen > 0 && Rng() % 10 < U.FailsOfTen;
+    if (Fails && U.FailsSilently)
+      return;
+    Reply.Reset = Fails;
+    Reply.PayloadBytes = Fails ? 0 : 100;
     answer(H, Flow, Reply);
   }
   void answer(FakeHost &H, const FlowId &Flow, PacketHead Reply) {
@@ -431,6 +439,7 @@
     P.Slots = 4;
     P.OpenFlows = H.Entrance->openFlows();
     P.Busy = H.Entrance->busy(Now);
+    P.Failing = H.Entrance->failing();
     later([this, &B, P] {
       if (B.Running)
         B.Agents->onPong(P, Now);
--- /dev/null
+++ b/src/opaque/outcomes.h
@@ -0,0 +1,38 @@
+// How requests to an upstream have ended lately, as far as the packets of their
+// flows show it. The load this answers: an upstream fails part of its requests
+// while it says that it is well; failing fast, it seems idle and would draw
+// more than its share. What an answer says is for the two ends only: an error
+// that is sent as an answer counts as one.
+#ifndef DRAGONFLYSTALL_SRC_OPAQUE_OUTCOMES_H
+#define DRAGONFLYSTALL_SRC_OPAQUE_OUTCOMES_H
+
+#include "dragonflystall/clock.h"
+
+namespace dragonflystall::opaque {
+
+class Outcomes {
+public:
+  /// Outcomes lose half their weight in this time, so that an upstream that is
+  /// left alone is soon tried again.
+  static constexpr Duration HalfLife = 2s;
+
+  void onAnswered(Duration ResponseTime);
+  void onFailed(uint32_t Requests) { Failed_ += Requests; }
+  /// Call regularly.
+  void age(TimePoint Now);
+
+  /// Share of the requests that failed, 0 to 1; small while few have ended.
+  double failing() const;
+  /// A request that has no answer after this time counts as failed.
+  Duration patience() const;
+
+private:
+  double Answered_ = 0; ///< Weighted as of AgedAt_, like Failed_.
+  double Failed_ = 0;
+  TimePoint AgedAt_{};
+  Duration MeanResponse_{}; ///< Zero until the first answer.
+};
+
+} // namespace dragonflystall::opaque
+
+#endif
