Offer a flow's packet to the unsure only after the others' answers

Cause: a balancer that looks for a flow asks all agents, and offered the packet to each agent that can't tell as soon as it said so. Offers now wait until all agents have answered, or 40 ms; a holder that answers in between makes them needless. Ruled out: offering one agent after the other (each more costs a round trip), and offers to nobody (after all agents have restarted nobody knows). NobodyIsOfferedAPacketWhileTheHolderSaysSo fails without the change.

--- a/src/opaque/opaque_test.cpp
+++ b/src/opaque/opaque_test.cpp
@@ -68,6 +68,32 @@
 
 // hunt-a3b5-19 on hangar-lund: a host had been added whose upstream was not
 // up yet; it was offered the packet and reset the flow.
+// soak seed 5: packets of a flow reached four upstreams while the answer of its
+// holder was on its way.
+TEST_F(Opaque, NobodyIsOfferedAPacketWhileTheHolderSaysSo) {
+  const FlowId Flow = W.open(*First, DeskRoute);
+  for (FakeHost &H : W.Hosts)
+    if (&H != &holderOf(Flow))
+      W.startAgent(H);
+  W.run(3s);
+  W.sendData(*Second, Flow);
+  W.run(50ms);
+  EXPECT_TRUE(W.Callers[Flow].Answered);
+  for (const FakeHost &H : W.Hosts)
+    EXPECT_EQ(H.Up.Strays, 0U) << H.Entry.Name;
+}
+
+TEST_F(Opaque, AnAgentThatDoesNotAnswerDelaysTheOffersLittle) {
+  const FlowId Flow = W.open(*First, DeskRoute);
+  FakeHost &Holder = holderOf(Flow);
+  for (FakeHost &H : W.Hosts)
+    H.Running = &H == &Holder;
+  W.startAgent(Holder);
+  W.sendData(*Second, Flow);
+  W.run(Searches::AnswersWithin + 120ms);
+  EXPECT_TRUE(W.Callers[Flow].Answered);
+}
+
 TEST_F(Opaque, AnUpstreamThatIsStartingIsOfferedNothing) {
   const FlowId Flow = W.newFlow(DeskRoute);
   W.sendSyn(*First, Flow);
--- a/src/opaque/opaqueworld_test.h
+++ b/src/opaque/opaqueworld_test.h
@@ -36,6 +36,7 @@
   std::set<FlowId> Open;
   std::set<FlowId> Opening;
   std::vector<TimePoint> Syns;
+  size_t Strays = 0; ///< Packets of flows that it does not hold.
 };
 
 struct FakeHost {
@@ -360,6 +361,7 @@
     if (U.Opening.count(Flow) && !holder(Flow))
       U.Open.insert(Flow);
     if (!U.Open.count(Flow)) {
+      ++U.Strays;
       PacketHead Back = Head;
       Back.Bounced = true;
       return gate(H, H.Entrance->fromUpstream(Back, Now), Back);
--- a/src/opaque/search.cpp
+++ b/src/opaque/search.cpp
@@ -30,6 +30,14 @@
   S.Waiting.push_back({Head, std::string(Bytes)});
 }
 
+std::vector<Search *> Searches::overdue(TimePoint Now) {
+  std::vector<Search *> Result;
+  for (auto &[Hash, S] : Searches_)
+    if (!S.Unsure.empty() && Now - S.Started > AnswersWithin)
+      Result.push_back(&S);
+  return Result;
+}
+
 std::vector<Search> Searches::expire(TimePoint Now) {
   std::vector<Search> Expired;
   for (auto It = Searches_.begin(); It != Searches_.end();) {
--- a/src/opaque/search.h
+++ b/src/opaque/search.h
@@ -15,13 +15,18 @@
   TimePoint Started{};
   /// Agents that have not answered.
   std::vector<AgentId> Open;
-  /// Agents that can't tell; each is offered the packets that wait.
+  /// Agents that can't tell: they are offered a packet when no other answer is
+  /// awaited.
   std::vector<AgentId> Unsure;
+  /// Agents that were offered one and have not returned it.
+  std::vector<AgentId> Offered;
   /// An agent could not be asked.
   bool Incomplete = false;
   std::vector<HeldPacket> Waiting;
 
-  bool denied() const { return Open.empty() && Unsure.empty(); }
+  bool denied() const {
+    return Open.empty() && Unsure.empty() && Offered.empty();
+  }
 };
 
 class Searches {
@@ -30,6 +35,9 @@
   /// new one.
   static constexpr Duration GiveUpAfter = 600ms;
   static constexpr size_t MostSearches = 512;
+  /// Agents that can't tell are asked by a packet after this time, though
+  /// others have not answered: a round trip to the farthest, and a margin.
+  static constexpr Duration AnswersWithin = 40ms;
   /// What a caller may have in flight.
   static constexpr size_t MostWaiting = 16;
 
@@ -42,6 +50,8 @@
   void erase(uint64_t Hash) { Searches_.erase(Hash); }
   /// Removes what has become too old and returns it.
   std::vector<Search> expire(TimePoint Now);
+  /// Those that have waited for answers long enough.
+  std::vector<Search *> overdue(TimePoint Now);
   size_t size() const { return Searches_.size(); }
 
 private:
--- a/src/opaque/steering.cpp
+++ b/src/opaque/steering.cpp
@@ -182,7 +182,7 @@
   // The upstream itself has denied it, unless the agent did not ask.
   if (Way.Refused)
     S->Incomplete = true;
-  std::erase_if(S->Unsure, [&](AgentId Id) {
+  std::erase_if(S->Offered, [&](AgentId Id) {
     const Agent *A = Agents_.find(Id);
     return !A || A->Entry.Packets == From;
   });
@@ -202,13 +202,15 @@
   if (S.denied() && !S.Incomplete && allKnown(Now))
     return breakOff(Head);
   SteerAction Action = drop(SteerReason::Lost);
-  Action.Unanswered = S.Open.size() + S.Unsure.size();
+  Action.Unanswered = S.Open.size() + S.Unsure.size() + S.Offered.size();
   Action.AllKnown = allKnown(Now);
   return Action;
 }
 
 std::vector<LateAction> Steering::concluded(Search &S, TimePoint Now) {
   std::vector<LateAction> Actions;
+  if (S.Open.empty())
+    offer(S, Actions);
   if (!S.denied())
     return Actions;
   const HeldPacket &Last = S.Waiting.back();
@@ -217,6 +219,20 @@
   return Actions;
 }
 
+void Steering::offer(Search &S, std::vector<LateAction> &Actions) {
+  for (AgentId Id : S.Unsure) {
+    const Agent *To = Agents_.find(Id);
+    if (!To) {
+      S.Incomplete = true;
+      continue;
+    }
+    Actions.push_back({forward(SteerReason::Offered, *To, Trail::Mode::Search),
+                       S.Waiting.back()});
+    S.Offered.push_back(Id);
+  }
+  S.Unsure.clear();
+}
+
 std::vector<LateAction> Steering::onLocated(const Located &Message,
                                             TimePoint Now) {
   std::vector<LateAction> Actions;
@@ -237,12 +253,9 @@
   }
   if (!S || std::erase(S->Open, From->Id) == 0)
     return Actions;
-  if (Message.Verdict == Holding::Denies)
-    return concluded(*S, Now);
-  S->Unsure.push_back(From->Id);
-  Actions.push_back({forward(SteerReason::Offered, *From, Trail::Mode::Search),
-                     S->Waiting.back()});
-  return Actions;
+  if (Message.Verdict == Holding::Unsure)
+    S->Unsure.push_back(From->Id);
+  return concluded(*S, Now);
 }
 
 void Steering::onAgentsListed(TimePoint Now) {
@@ -256,6 +269,8 @@
                             .count());
   Cache_.sweep(seconds(Now));
   std::vector<LateAction> Actions;
+  for (Search *S : Searches_.overdue(Now))
+    offer(*S, Actions);
   for (Search &S : Searches_.expire(Now)) {
     SteerAction Action = notFound(S, S.Waiting.back().Head, Now);
     Actions.push_back({std::move(Action), std::move(S.Waiting.back())});
--- a/src/opaque/steering.h
+++ b/src/opaque/steering.h
@@ -105,8 +105,12 @@
                TimePoint Now);
   SteerAction search(const PacketHead &Head, std::string_view Bytes,
                      TimePoint Now);
-  /// Ends the search when all agents deny the flow.
+  /// After an answer: offers a packet to those that can't tell when all have
+  /// answered, and ends the search when all deny the flow.
   std::vector<LateAction> concluded(Search &S, TimePoint Now);
+  /// Offers the last packet to the agents that can't tell. Each packet that
+  /// goes to another upstream than its own costs that one work.
+  void offer(Search &S, std::vector<LateAction> &Actions);
   bool allKnown(TimePoint Now) const;
   /// What becomes of the last packet of a search that found nobody.
   SteerAction notFound(const Search &S, const PacketHead &Head,
