A fault soak of the real balancers and agents

scripts/soak runs four balancers and nine agents as processes of their own on loopback, with stand-ins for store, upstreams, callers and routers in one more. Faults are drawn from a seed and overlap: processes are killed, stopped, paused and told to reload, all at once or singly; the store is down, slow, loses answers or its history; a relay delays, silences, cuts one way or resets the ways to the store and from upstream to agent; upstreams crash, restart under the same id, are released, or lose their address to another service; a zone is out, a route is gone, callers' packets are lost, repeated and late. Callers go on using their flows and open connections. While it runs it judges: packets unchanged, no opening at a wrong service, a drained upstream, a zone that is out or a dropped route in time, cold upstreams within their limit, no reset of a flow that is held, no packets astray for 2 s, no process that ends by itself, and 99 of 100 requests answered 12 s after the last fault. platform/otherside has the formats as the other side writes them. Not there: cuts between nodes (their addresses are their own), faults of clocks and disks (no process uses a wall clock or a disk).

--- /dev/null
+++ b/soak/child.h
@@ -0,0 +1,39 @@
+// A real process of ours under the soak's control.
+#ifndef DRAGONFLYSTALL_SOAK_CHILD_H
+#define DRAGONFLYSTALL_SOAK_CHILD_H
+
+#include "dragonflystall/types.h"
+
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace dragonflystall::soak {
+
+class Child {
+public:
+  Child() = default;
+  /// Kills the process if it still runs.
+  ~Child();
+  Child(const Child &) = delete;
+  Child &operator=(const Child &) = delete;
+
+  /// Starts a program with DRAGONFLYSTALL_SETTINGS set; its output is appended
+  /// to a file. Throws std::runtime_error.
+  void start(const std::vector<std::string> &Command,
+             const std::string &Settings, const std::string &Output);
+  void signal(int Number) const;
+  bool running() const { return Pid_ > 0; }
+  /// Notices an end; returns whether the process has ended since the last call.
+  bool ended();
+  /// "status 1" or "signal 9", of the last end.
+  const std::string &how() const { return How_; }
+
+private:
+  pid_t Pid_ = 0;
+  std::string How_;
+};
+
+} // namespace dragonflystall::soak
+
+#endif
--- /dev/null
+++ b/soak/store.cpp
@@ -0,0 +1,237 @@
+// The store's calls over libevent's HTTP server.
+#include "soak/store.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+#include <stdexcept>
+
+namespace dragonflystall::soak {
+
+namespace {
+
+constexpr int StatusCreated = 201;
+
+HttpRequest decode(evhttp_request *Request) {
+  HttpRequest Result;
+  switch (evhttp_request_get_command(Request)) {
+  case EVHTTP_REQ_POST:
+    Result.Method = HttpMethod::Post;
+    break;
+  case EVHTTP_REQ_PUT:
+    Result.Method = HttpMethod::Put;
+    break;
+  case EVHTTP_REQ_DELETE:
+    Result.Method = HttpMethod::Delete;
+    break;
+  default:
+    break;
+  }
+  Result.Target = evhttp_request_get_uri(Request);
+  evbuffer *Body = evhttp_request_get_input_buffer(Request);
+  Result.Body.resize(evbuffer_get_length(Body));
+  evbuffer_copyout(Body, Result.Body.data(), Result.Body.size());
+  return Result;
+}
+
+HttpResponse json(int Status, std::string Body) {
+  return {Status, std::move(Body), std::string(JsonContent)};
+}
+
+} // namespace
+
+Store::Store(node::Services &Shared, Endpoint Listen)
+    : Shared_(Shared), Http_(evhttp_new(Shared.Base.get())) {
+  evhttp_set_gencb(Http_, &Store::onRequest, this);
+  evhttp_set_allowed_methods(Http_, EVHTTP_REQ_GET | EVHTTP_REQ_POST |
+                                        EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE);
+  const std::string Ip = toString(Listen);
+  if (evhttp_bind_socket(Http_, Ip.substr(0, Ip.find(':')).c_str(),
+                         Listen.Port) != 0)
+    throw std::runtime_error(Ip + ": cannot listen");
+}
+
+Store::~Store() { evhttp_free(Http_); }
+
+void Store::onRequest(evhttp_request *Request, void *Self) {
+  static_cast<Store *>(Self)->serve(Request);
+}
+
+void Store::serve(evhttp_request *Request) {
+  const HttpRequest Decoded = decode(Request);
+  const auto Call = platform::decodeStoreCall(Decoded);
+  if (!Call)
+    return reply(Request, emptyAnswer(HttpStatus::NotFound));
+  if (Faults_.Down)
+    return reply(Request, emptyAnswer(HttpStatus::Unavailable));
+  const TimePoint Now = Shared_.now();
+  if (Call->WatchFrom || Faults_.Delay > Duration::zero()) {
+    // An answer that comes late is a watch that nothing but time ends.
+    Watches_.push_back({Request, *Call, Now + Call->Wait});
+    evhttp_connection_set_closecb(
+        evhttp_request_get_connection(Request),
+        [](evhttp_connection *Closed, void *Self) {
+          auto &S = *static_cast<Store *>(Self);
+          std::erase_if(S.Watches_, [Closed](const Watch &W) {
+            return evhttp_request_get_connection(W.Request) == Closed;
+          });
+        },
+        this);
+    if (Call->WatchFrom)
+      return answerWatches();
+    Watches_.back().Ends = Now + Faults_.Delay;
+    return;
+  }
+  const HttpResponse Answer = execute(Decoded, *Call);
+  const bool Write = Decoded.Method != HttpMethod::Get;
+  if (Write &&
+      std::uniform_real_distribution<>(0, 1)(Shared_.Rng) < Faults_.LostAnswers)
+    return evhttp_connection_free(evhttp_request_get_connection(Request));
+  reply(Request, Answer);
+}
+
+HttpResponse Store::execute(const HttpRequest &Request,
+                            const platform::StoreCall &Call) {
+  return Request.Method == HttpMethod::Get ? read(Call) : write(Request, Call);
+}
+
+HttpResponse Store::read(const platform::StoreCall &Call) const {
+  const auto Kind = Kinds_.find(Call.Kind);
+  const Objects None;
+  const Objects &Listed = Kind == Kinds_.end() ? None : Kind->second;
+  if (!Call.Name.empty()) {
+    const auto It = Listed.find(Call.Name);
+    return It == Listed.end()
+               ? emptyAnswer(HttpStatus::NotFound)
+               : json(HttpStatus::Ok, platform::encodeObject(It->second));
+  }
+  platform::Page Page;
+  Page.Revision = Revision_;
+  for (const auto &[Name, Object] : Listed)
+    if (Name > Call.After)
+      Page.Objects.push_back(Object);
+  return json(HttpStatus::Ok, platform::encodePage(Page));
+}
+
+HttpResponse Store::write(const HttpRequest &Request,
+                          const platform::StoreCall &Call) {
+  Objects &Kind = Kinds_[Call.Kind];
+  const auto It = Kind.find(Call.Name);
+  const bool Exists = It != Kind.end();
+  const bool Stale =
+      Exists && Call.Revision && *Call.Revision != It->second.Revision;
+  if (Stale || (Exists && Request.Method == HttpMethod::Post))
+    return json(HttpStatus::Conflict, platform::encodeObject(It->second));
+  if (!Exists && Request.Method != HttpMethod::Post)
+    return emptyAnswer(HttpStatus::NotFound);
+  if (Request.Method == HttpMethod::Delete) {
+    change(Call.Kind, It->second, /*Removed=*/true);
+    return emptyAnswer(HttpStatus::Ok);
+  }
+  change(Call.Kind, {Call.Name, 0, Call.Content}, /*Removed=*/false);
+  return json(Exists ? HttpStatus::Ok : StatusCreated,
+              platform::encodeObject(Kinds_[Call.Kind][Call.Name]));
+}
+
+void Store::change(const std::string &Kind, platform::Object What,
+                   bool Removed) {
+  What.Revision = ++Revision_;
+  if (Removed)
+    Kinds_[Kind].erase(What.Name);
+  else
+    Kinds_[Kind][What.Name] = What;
+  History_.push_back({Kind, {std::move(What), Removed}});
+  answerWatches();
+}
+
+void Store::put(platform::ObjectKind Kind, const std::string &Name,
+                const std::string &Content) {
+  change(std::string(name(Kind)), {Name, 0, Content}, /*Removed=*/false);
+}
+
+void Store::remove(platform::ObjectKind Kind, const std::string &Name) {
+  const auto &Objects = Kinds_[std::string(name(Kind))];
+  if (const auto It = Objects.find(Name); It != Objects.end())
+    change(std::string(name(Kind)), It->second, /*Removed=*/true);
+}
+
+std::vector<std::string> Store::names(platform::ObjectKind Kind) const {
+  std::vector<std::string> Result;
+  if (const auto It = Kinds_.find(std::string(name(Kind))); It != Kinds_.end())
+    for (const auto &[Name, Object] : It->second)
+      Result.push_back(Name);
+  return Result;
+}
+
+std::optional<HttpResponse>
+Store::changesFor(const platform::StoreCall &Call) const {
+  if (*Call.WatchFrom < HistoryFrom_)
+    return emptyAnswer(HttpStatus::Gone);
+  platform::Changes News;
+  News.Revision = Revision_;
+  for (const Event &E : History_)
+    if (E.Kind == Call.Kind && E.What.What.Revision > *Call.WatchFrom)
+      News.Events.push_back(E.What);
+  if (News.Events.empty())
+    return std::nullopt;
+  return json(HttpStatus::Ok, platform::encodeChanges(News));
+}
+
+void Store::answerWatches() {
+  if (Faults_.any())
+    return;
+  for (auto It = Watches_.begin(); It != Watches_.end();) {
+    const auto Answer =
+        It->Call.WatchFrom ? changesFor(It->Call) : std::nullopt;
+    evhttp_request *Request = It->Request;
+    It = Answer ? Watches_.erase(It) : std::next(It);
+    if (Answer)
+      reply(Request, *Answer);
+  }
+}
+
+void Store::tick(TimePoint Now) {
+  for (auto It = Watches_.begin(); It != Watches_.end();) {
+    if (Now < It->Ends && !Faults_.Down) {
+      ++It;
+      continue;
+    }
+    const Watch Due = *It;
+    It = Watches_.erase(It);
+    if (Faults_.Down)
+      reply(Due.Request, emptyAnswer(HttpStatus::Unavailable));
+    else if (Due.Call.WatchFrom)
+      reply(Due.Request,
+            changesFor(Due.Call).value_or(json(
+                HttpStatus::Ok, platform::encodeChanges({{}, Revision_}))));
+    else
+      reply(Due.Request, execute(decode(Due.Request), Due.Call));
+  }
+  answerWatches();
+}
+
+void Store::reply(evhttp_request *Request, const HttpResponse &Response) {
+  evhttp_connection_set_closecb(evhttp_request_get_connection(Request), nullptr,
+                                nullptr);
+  evhttp_add_header(evhttp_request_get_output_headers(Request), "Content-Type",
+                    Response.ContentType.c_str());
+  evbuffer *Body = evbuffer_new();
+  evbuffer_add(Body, Response.Body.data(), Response.Body.size());
+  evhttp_send_reply(Request, Response.Status, nullptr, Body);
+  evbuffer_free(Body);
+}
+
+void Store::setFaults(const StoreFaults &Faults) {
+  Faults_ = Faults;
+  tick(Shared_.now());
+}
+
+void Store::forgetHistory() {
+  History_.clear();
+  // All watches that wait are refused, as those that come later are.
+  HistoryFrom_ = ++Revision_;
+  answerWatches();
+}
+
+} // namespace dragonflystall::soak
--- a/src/node/balancer.cpp
+++ b/src/node/balancer.cpp
@@ -129,9 +129,8 @@
     logAction(Action, Head, Now);
   if (Action.What == SteerAction::Kind::Reset) {
     const opaque::FlowId Flow = Head.fromCaller();
-    const auto Packet = platform::encodeReset(Flow, Action.ResetSequence);
     FromCallers_->send({Flow.Caller.Ip, Settings_.Packets.Port},
-                       {Packet.data(), Packet.size()});
+                       platform::encodeReset(Flow, Action.ResetSequence));
   }
   for (const opaque::Agent *Asked : Action.Asked)
     sendControl(Asked->Entry.Control, opaque::Find{Head.fromCaller()});
