Let a service recover from a crowd; spread what is refused

No room was left, SYNs were late, and were copied. An opening now holds its room for 30 ms, counted when the next one comes. Cause 2: upstreams that had just become warm were filled three deep by all balancers at once, since reports lag by a second, while others had free slots. Agents report what is in progress now if that is more than the average; a refusal by an open agent counts as full until its next report; an agent queues only flows that two others have refused (1.4 a slot before). Cause 3: cold agents were offered hundreds of flows a second beyond their budget: one that refuses is left alone for 200 ms while others are open, for 50 ms as before when all are cold.

--- a/src/opaque/control.h
+++ b/src/opaque/control.h
@@ -82,7 +82,8 @@
   Duration ColdFor{};
   uint32_t Slots = 1;
   uint32_t OpenFlows = 0;
-  /// Requests in progress, averaged over the last second.
+  /// Requests in progress: now, or on average over about a second if that is
+  /// more.
   double Busy = 0;
   /// Share of the requests that failed lately, 0 to 1.
   double Failing = 0;
--- a/src/opaque/directory.cpp
+++ b/src/opaque/directory.cpp
@@ -24,8 +24,14 @@
 constexpr double JitterCost = 0.15;
 
 /// How long an agent that has refused is left alone while its upstream is
-/// cold: a part of the time until its budget has room again.
-constexpr Duration ColdPause = 50ms;
+/// cold: a part of the time until its budget has room again, the longer one
+/// while others are open.
+constexpr Duration ColdPause = 200ms;
+constexpr Duration AllColdPause = 50ms;
+
+/// What an agent that refuses has in progress for each slot at least, until it
+/// reports again.
+constexpr uint32_t FullPerSlot = 2;
 
 bool takesFlows(Intake State) {
   return State == Intake::Open || State == Intake::Cold;
@@ -129,9 +135,16 @@
 
 void Directory::onRefusal(const std::string &Service, Endpoint Packets,
                           TimePoint Now) {
-  for (Agent *A : of(Service))
-    if (A->Entry.Packets == Packets && A->Last.State == Intake::Cold)
-      A->RefusesUntil = Now + ColdPause;
+  const bool OthersOpen = openSlotsOf(Service, Now) > 0;
+  for (Agent *A : of(Service)) {
+    if (A->Entry.Packets != Packets)
+      continue;
+    if (A->Last.State == Intake::Cold)
+      A->RefusesUntil = Now + (OthersOpen ? ColdPause : AllColdPause);
+    else
+      A->Last.Busy =
+          std::max<double>(A->Last.Busy, FullPerSlot * A->Last.Slots);
+  }
 }
 
 uint32_t Directory::triedBit(const Agent &A) {
--- a/src/opaque/gate.cpp
+++ b/src/opaque/gate.cpp
@@ -1,6 +1,7 @@
 // Admission of new flows and passage of packets beside an upstream.
 #include "opaque/gate.h"
 
+#include <bit>
 #include <cmath>
 
 namespace dragonflystall::opaque {
@@ -9,15 +10,21 @@
 
 constexpr Duration AverageOver = 1s;
 constexpr Duration SweepInterval = 1s;
-/// A caller that has not sent its request so long after its SYN has opened its
-/// flow elsewhere.
-constexpr Duration OpeningLength = 300ms;
+/// A caller that has not sent its request so long after its SYN, a few round
+/// trips, has opened its flow elsewhere. In a crowd, SYNs are copied to several
+/// agents: if each copy held its room for long, there would be none left.
+constexpr Duration OpeningLength = 30ms;
 /// A request that has no answer for so long was lost, or was answered before
 /// this agent started.
 constexpr Duration BusyLength = 2s;
 /// Requests in progress and waiting for each slot: what waits is worked off
 /// within twice the length of a request.
-constexpr uint32_t MostPerSlot = 3;
+constexpr double MostPerSlot = 3;
+/// The same for a flow that may find room elsewhere, having been offered to at
+/// most so many agents: upstreams that have just become warm seem idle to all
+/// balancers at once.
+constexpr double FirstPerSlot = 1.4;
+constexpr int FirstOffers = 2;
 
 GateAction toUpstream(GateReason Why) {
   return {GateAction::Kind::ToUpstream, Why, {}, {}, false};
@@ -44,6 +51,7 @@
                   Upstream_.intake(Now) == Intake::Cold
                       ? GateReason::OverBudget
                       : GateReason::NotTaking);
+  endOpenings(Now);
   if (!roomFor(Trail::decode(Head.Echo)))
     return refuse(Head, Balancer, GateReason::Full);
   Upstream_.onSynPassed(Now);
@@ -79,8 +87,12 @@
 }
 
 bool Gate::roomFor(const Trail &Way) const {
-  const uint32_t Limit = Upstream_.slots() * (Way.Waited ? 1 : MostPerSlot);
-  return BusyFlows_ < Limit;
+  double PerSlot = MostPerSlot;
+  if (Way.Waited)
+    PerSlot = 1;
+  else if (std::popcount(Way.Tried) <= FirstOffers)
+    PerSlot = FirstPerSlot;
+  return BusyFlows_ < PerSlot * Upstream_.slots();
 }
 
 void Gate::endOpenings(TimePoint Now) {
@@ -220,7 +232,7 @@
 
 double Gate::busy(TimePoint Now) {
   averageBusy(Now);
-  return BusyAverage_;
+  return std::max<double>(BusyAverage_, BusyFlows_);
 }
 
 void Gate::forgetFlows(TimePoint Now) {
--- a/src/opaque/gate.h
+++ b/src/opaque/gate.h
@@ -77,7 +77,8 @@
     return Upstream_.known() ? Upstream_.service() : Service_;
   }
   size_t openFlows() const { return Flows_.size(); }
-  /// Requests in progress, averaged over about a second.
+  /// Requests in progress: now, or on average over about a second if that is
+  /// more.
   double busy(TimePoint Now);
   /// Share of the requests that failed lately; see Outcomes.
   double failing() const { return Outcomes_.failing(); }
--- a/src/opaque/opaque_test.cpp
+++ b/src/opaque/opaque_test.cpp
@@ -396,6 +396,64 @@
     EXPECT_LE(H.Up.Opening.size(), 12U) << H.Entry.Name;
 }
 
+// legoff-atelier grown, a crowd during a release: copies of SYNs held the room
+// of all agents, so that new SYNs were late and copied in turn, long after the
+// crowd had gone. Replays an agent's share of it: for each request, three SYNs
+// whose flows open elsewhere.
+TEST_F(Opaque, CopiesOfSynsLeaveRoomForRequests) {
+  FakeHost &H = W.Hosts[0];
+  const auto Syn = [&] {
+    PacketHead Head = W.packet(W.newFlow(DeskRoute));
+    Head.Syn = true;
+    Trail Way;
+    Way.How = Trail::Mode::Place;
+    Way.Tried = 1;
+    Head.Echo = Way.encode();
+    const auto Action = H.Entrance->fromBalancer(Head, First->Address, W.Now);
+    PacketHead Answer;
+    Answer.Source = Head.Destination;
+    Answer.Destination = Head.Source;
+    Answer.Syn = true;
+    Answer.Ack = true;
+    H.Entrance->fromUpstream(Answer, W.Now);
+    return Action.Why;
+  };
+  int Admitted = 0;
+  for (int I = 0; I < 100; ++I) {
+    for (int Copy = 0; Copy < 3; ++Copy) {
+      Admitted += Syn() == GateReason::Admitted;
+      W.run(8ms);
+    }
+  }
+  EXPECT_GT(Admitted, 280); // Of 300.
+}
+
+// legoff-atelier grown scale-2, release: upstreams that had just become warm
+// were filled by all balancers at once, while others had free slots.
+TEST_F(Opaque, AFlowQueuesOnlyWhenItFoundNoRoomElsewhere) {
+  FakeHost &H = W.Hosts[0];
+  const auto Admitted = [&](uint32_t Tried) {
+    PacketHead Head = W.packet(W.newFlow(DeskRoute));
+    Head.Syn = true;
+    Trail Way;
+    Way.How = Trail::Mode::Place;
+    Way.Tried = Tried;
+    Head.Echo = Way.encode();
+    const auto Action = H.Entrance->fromBalancer(Head, First->Address, W.Now);
+    return Action.Why == GateReason::Admitted;
+  };
+  int Fresh = 0;
+  while (Admitted(0b1))
+    ++Fresh;
+  EXPECT_LE(Fresh, 6); // Of four slots.
+  EXPECT_GE(Fresh, 4);
+  EXPECT_FALSE(Admitted(0b11));
+  int Refused = 0;
+  while (Admitted(0b111))
+    ++Refused;
+  EXPECT_EQ(Fresh + Refused, 12);
+}
+
 TEST_F(Opaque, TheFirstAnswerTellsTheResponseTime) {
   const FlowId Flow = W.open(*First, DeskRoute);
   FakeHost &Holder = holderOf(Flow);
--- a/src/opaque/opaqueparts_test.cpp
+++ b/src/opaque/opaqueparts_test.cpp
@@ -143,6 +143,51 @@
   EXPECT_EQ(D.removable(Now + 30s)[0]->Entry.Name, "c");
 }
 
+TEST(Directory, AnAgentThatIsFullIsNotTheBestUntilItReportsAgain) {
+  Directory D("zone-0", 1);
+  const TimePoint Now{100s};
+  Pong P;
+  P.Service = "desk";
+  P.State = Intake::Open;
+  P.Slots = 4;
+  for (const char *Name : {"idle", "busy"}) {
+    P.Name = Name;
+    P.Busy = P.Name == "idle" ? 0 : 4;
+    const uint32_t Ip = P.Name == "idle" ? 1 : 2;
+    D.list({Name, "desk", "zone-0", {Ip, 1}, {Ip, 2}}, 7, Now);
+    D.onPong(P, Now);
+  }
+  EXPECT_EQ(D.choose("desk", 0, Now)->Entry.Name, "idle");
+  D.onRefusal("desk", {1, 1}, Now);
+  EXPECT_EQ(D.choose("desk", 0, Now)->Entry.Name, "busy");
+  P.Name = "idle";
+  P.Busy = 0;
+  D.onPong(P, Now + 500ms);
+  EXPECT_EQ(D.choose("desk", 0, Now + 500ms)->Entry.Name, "idle");
+}
+
+TEST(Directory, AColdAgentThatRefusesIsLeftAloneLongerWhileOthersAreOpen) {
+  const TimePoint Now{100s};
+  for (const bool OtherOpen : {false, true}) {
+    Directory D("zone-0", 1);
+    Pong P;
+    P.Service = "desk";
+    P.Name = "cold";
+    P.State = Intake::Cold;
+    D.list({"cold", "desk", "zone-0", {1, 1}, {1, 2}}, 7, Now);
+    D.onPong(P, Now);
+    P.Name = "other";
+    P.State = OtherOpen ? Intake::Open : Intake::Cold;
+    D.list({"other", "desk", "zone-0", {2, 1}, {2, 2}}, 7, Now);
+    D.onPong(P, Now);
+    D.onRefusal("desk", {1, 1}, Now);
+    const uint32_t Other = Directory::triedBit(*D.find("other"));
+    EXPECT_EQ(D.choose("desk", Other, Now + 40ms), nullptr);
+    EXPECT_EQ(D.choose("desk", Other, Now + 100ms) != nullptr, !OtherOpen);
+    EXPECT_NE(D.choose("desk", Other, Now + 250ms), nullptr);
+  }
+}
+
 TEST(StoreWatch, ListsWatchesAndListsAgainWhenTheHistoryIsGone) {
   StoreWatch W(1);
   TimePoint Now{1s};
