--- a/soak/store.cpp
+++ b/soak/store.cpp
@@ -1,10 +1,8 @@
 // The store's calls over libevent's HTTP server.
 #include "soak/store.h"
 
-#include <event2/buffer.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
-#include <event2/keyvalq_struct.h>
 #include <stdexcept>
 
 namespace dragonflystall::soak {
@@ -13,28 +11,6 @@
 
 constexpr int StatusCreated = 201;
 
-HttpRequest decode(evhttp_request *Request) {
-  HttpRequest Result;
-  switch (evhttp_request_get_command(Request)) {
-  case EVHTTP_REQ_POST:
-    Result.Method = HttpMethod::Post;
-    break;
-  case EVHTTP_REQ_PUT:
-    Result.Method = HttpMethod::Put;
-    break;
-  case EVHTTP_REQ_DELETE:
-    Result.Method = HttpMethod::Delete;
-    break;
-  default:
-    break;
-  }
-  Result.Target = evhttp_request_get_uri(Request);
-  evbuffer *Body = evhttp_request_get_input_buffer(Request);
-  Result.Body.resize(evbuffer_get_length(Body));
-  evbuffer_copyout(Body, Result.Body.data(), Result.Body.size());
-  return Result;
-}
-
 HttpResponse json(int Status, std::string Body) {
   return {Status, std::move(Body), std::string(JsonContent)};
 }
@@ -59,7 +35,7 @@
 }
 
 void Store::serve(evhttp_request *Request) {
-  const HttpRequest Decoded = decode(Request);
+  const HttpRequest Decoded = decodeRequest(Request);
   const auto Call = platform::decodeStoreCall(Decoded);
   if (!Call)
     return reply(Request, emptyAnswer(HttpStatus::NotFound));
@@ -206,7 +182,7 @@
             changesFor(Due.Call).value_or(json(
                 HttpStatus::Ok, platform::encodeChanges({{}, Revision_}))));
     else
-      reply(Due.Request, execute(decode(Due.Request), Due.Call));
+      reply(Due.Request, execute(decodeRequest(Due.Request), Due.Call));
   }
   answerWatches();
 }
@@ -214,12 +190,7 @@
 void Store::reply(evhttp_request *Request, const HttpResponse &Response) {
   evhttp_connection_set_closecb(evhttp_request_get_connection(Request), nullptr,
                                 nullptr);
-  evhttp_add_header(evhttp_request_get_output_headers(Request), "Content-Type",
-                    Response.ContentType.c_str());
-  evbuffer *Body = evbuffer_new();
-  evbuffer_add(Body, Response.Body.data(), Response.Body.size());
-  evhttp_send_reply(Request, Response.Status, nullptr, Body);
-  evbuffer_free(Body);
+  sendAnswer(Request, Response);
 }
 
 void Store::setFaults(const StoreFaults &Faults) {
--- a/src/shell/http.cpp
+++ b/src/shell/http.cpp
@@ -160,7 +160,7 @@
   static void onRequest(evhttp_request *Request, void *Self);
 };
 
-void HttpServer::State::onRequest(evhttp_request *Request, void *Self) {
+HttpRequest decodeRequest(evhttp_request *Request) {
   HttpRequest Decoded;
   switch (evhttp_request_get_command(Request)) {
   case EVHTTP_REQ_POST:
@@ -177,7 +177,10 @@
   }
   Decoded.Target = evhttp_request_get_uri(Request);
   Decoded.Body = bodyOf(evhttp_request_get_input_buffer(Request));
-  const HttpResponse Response = static_cast<State *>(Self)->OnRequest(Decoded);
+  return Decoded;
+}
+
+void sendAnswer(evhttp_request *Request, const HttpResponse &Response) {
   evhttp_add_header(evhttp_request_get_output_headers(Request), "Content-Type",
                     Response.ContentType.c_str());
   evbuffer *Body = evbuffer_new();
@@ -186,6 +189,11 @@
   evbuffer_free(Body);
 }
 
+void HttpServer::State::onRequest(evhttp_request *Request, void *Self) {
+  sendAnswer(Request,
+             static_cast<State *>(Self)->OnRequest(decodeRequest(Request)));
+}
+
 HttpServer::HttpServer(event_base *Base, Handler OnRequest)
     : State_(std::make_unique<State>()) {
   State_->Http = evhttp_new(Base);
--- a/src/shell/http.h
+++ b/src/shell/http.h
@@ -11,6 +11,7 @@
 #include <tl/expected.hpp>
 
 struct event_base;
+struct evhttp_request;
 
 namespace dragonflystall {
 
@@ -98,6 +99,10 @@
   std::unique_ptr<State> State_;
 };
 
+// For servers on libevent that answer some requests later.
+HttpRequest decodeRequest(evhttp_request *Request);
+void sendAnswer(evhttp_request *Request, const HttpResponse &Response);
+
 /// A path without its query.
 std::string pathOf(const std::string &Target);
 
