Soak: take waiting calls out of the store one at a time

AddressSanitizer: heap-use-after-free in Store::tick(): a delayed write that was carried out answered watches, and with them removed the entry that the loop was at.

--- a/soak/store.cpp
+++ b/soak/store.cpp
@@ -1,6 +1,7 @@
 // The store's calls over libevent's HTTP server.
 #include "soak/store.h"
 
+#include <algorithm>
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <stdexcept>
@@ -168,25 +169,30 @@
 }
 
 void Store::tick(TimePoint Now) {
-  for (auto It = Watches_.begin(); It != Watches_.end();) {
-    if (Now < It->Ends && !Faults_.Down) {
-      ++It;
-      continue;
-    }
+  const auto IsDue = [&](const Watch &W) {
+    return Faults_.Down || Now >= W.Ends;
+  };
+  // Each call that is carried out may end other watches.
+  for (auto It = std::find_if(Watches_.begin(), Watches_.end(), IsDue);
+       It != Watches_.end();
+       It = std::find_if(Watches_.begin(), Watches_.end(), IsDue)) {
     const Watch Due = *It;
-    It = Watches_.erase(It);
-    if (Faults_.Down)
-      reply(Due.Request, emptyAnswer(HttpStatus::Unavailable));
-    else if (Due.Call.WatchFrom)
-      reply(Due.Request,
-            changesFor(Due.Call).value_or(json(
-                HttpStatus::Ok, platform::encodeChanges({{}, Revision_}))));
-    else
-      reply(Due.Request, execute(decodeRequest(Due.Request), Due.Call));
+    Watches_.erase(It);
+    finish(Due);
   }
   answerWatches();
 }
 
+void Store::finish(const Watch &Due) {
+  if (Faults_.Down)
+    return reply(Due.Request, emptyAnswer(HttpStatus::Unavailable));
+  if (!Due.Call.WatchFrom)
+    return reply(Due.Request, execute(decodeRequest(Due.Request), Due.Call));
+  const auto News = changesFor(Due.Call);
+  reply(Due.Request, News.value_or(json(HttpStatus::Ok, platform::encodeChanges(
+                                                            {{}, Revision_}))));
+}
+
 void Store::reply(evhttp_request *Request, const HttpResponse &Response) {
   evhttp_connection_set_closecb(evhttp_request_get_connection(Request), nullptr,
                                 nullptr);
--- a/soak/store.h
+++ b/soak/store.h
@@ -68,6 +68,8 @@
   std::optional<HttpResponse> changesFor(const platform::StoreCall &Call) const;
   void change(const std::string &Kind, platform::Object What, bool Removed);
   void answerWatches();
+  /// Answers a call that has waited long enough.
+  void finish(const Watch &Due);
   void reply(evhttp_request *Request, const HttpResponse &Response);
 
   node::Services &Shared_;
