One copy of what stood twice: addresses, bound sockets, JSON answers, chance

Read again as a whole, the change had written anew what was there, or stood twice in itself; each is one piece now, and its older twins call it, too: - ipText(), until now private to types.cpp: nine places cut the port off the text of an endpoint, three of them new. - toSockaddr(): shell/socketaddress.h, for UdpSocket, CallerSocket and relay. - UdpSocket::bindOrThrow() for the node and the two stand-ins of the soak. - jsonAnswer() beside emptyAnswer(); status 201 with the others. - chance() beside Random, for the soak's store and callers and the small world. - Faults::restart() for four copies of stop and start again; routes, lengths and intervals of the soak are named once. - The name of the settings variable stands in platform/ only. - The SYN that a balancer placed is made in one place in the tests. Directory::onRefusal() counted the open slots of the service for each refusal, also where only a cold agent asks for them: refusals are what a crowd has most of. A member of the judge that nothing read is gone.

--- a/include/dragonflystall/clock.h
+++ b/include/dragonflystall/clock.h
@@ -23,6 +23,11 @@
 
 using Random = std::mt19937_64;
 
+/// True in this share of the calls, 0 to 1; draws nothing when it is 0.
+inline bool chance(Random &Rng, double Share) {
+  return Share > 0 && std::uniform_real_distribution<>(0, 1)(Rng) < Share;
+}
+
 struct SystemClock {
   TimePoint now() const { return std::chrono::steady_clock::now(); }
   std::chrono::system_clock::time_point wallTime() const {
--- a/include/dragonflystall/types.h
+++ b/include/dragonflystall/types.h
@@ -36,6 +36,8 @@
 /// Parses "127.0.0.1:5683"; std::nullopt when the text is anything else.
 std::optional<Endpoint> parseEndpoint(std::string_view Text);
 std::string toString(Endpoint Address);
+/// "127.0.0.1", of an address in host byte order.
+std::string ipText(uint32_t Ip);
 
 /// An IPv4 network in CIDR notation.
 struct Network {
--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <fmt/format.h>
-#include <stdexcept>
 
 namespace dragonflystall::soak {
 
@@ -29,10 +28,8 @@
                  const std::vector<Endpoint> &Addresses, size_t Count)
     : Shared_(Shared), Rules_(Rules), Addresses_(Addresses) {
   for (size_t I = 0; I < Addresses.size(); ++I) {
-    auto Bound = UdpSocket::bind(Addresses[I]);
-    if (!Bound)
-      throw std::runtime_error(toString(Addresses[I]) + ": " + Bound.error());
-    UdpSocket &Socket = *Sockets_.emplace_back(std::move(*Bound));
+    UdpSocket &Socket =
+        *Sockets_.emplace_back(UdpSocket::bindOrThrow(Addresses[I]));
     Watches_.emplace_back(Shared.Base.get(), Socket.descriptor(),
                           [this, I, &Socket] {
                             Socket.receive([this, I](Endpoint, auto Bytes) {
@@ -48,11 +45,6 @@
   }
 }
 
-bool Callers::chance(double Share) {
-  return Share > 0 &&
-         std::uniform_real_distribution<>(0, 1)(Shared_.Rng) < Share;
-}
-
 Duration Callers::pause() {
   return MostPause * static_cast<int>(Shared_.Rng() % 100) / 100;
 }
@@ -73,8 +65,9 @@
   const Front &To = frontFor(C);
   Rules_.onSent(C.Flow, To.Contact);
   const TimePoint Now = Shared_.now();
-  for (int Copies = chance(Path.Repeated) ? 2 : 1; Copies > 0; --Copies) {
-    if (chance(Path.Lost))
+  for (int Copies = chance(Shared_.Rng, Path.Repeated) ? 2 : 1; Copies > 0;
+       --Copies) {
+    if (chance(Shared_.Rng, Path.Lost))
       continue;
     TimePoint At = Now;
     if (Path.Delay > Duration::zero())
@@ -192,7 +185,7 @@
 
 void Callers::onPacket(size_t Address, std::string_view Bytes) {
   const TimePoint Now = Shared_.now();
-  if (chance(Path.Lost))
+  if (chance(Shared_.Rng, Path.Lost))
     return;
   const auto Head = platform::decodeHead(Bytes);
   const bool Underway = Head && platform::madeUnderway(Bytes);
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -95,7 +95,6 @@
   void send(const Caller &C, const std::string &Bytes);
   opaque::PacketHead headOf(const Caller &C) const;
   Front &frontFor(const Caller &C);
-  bool chance(double Share);
   Duration pause();
 
   node::Services &Shared_;
--- a/soak/child.cpp
+++ b/soak/child.cpp
@@ -21,13 +21,12 @@
 }
 
 void Child::start(const std::vector<std::string> &Command,
-                  const std::string &Settings, const std::string &Output) {
+                  const std::string &Variable, const std::string &Output) {
   std::vector<char *> Arguments;
   Arguments.reserve(Command.size() + 1);
   for (const std::string &Word : Command)
     Arguments.push_back(const_cast<char *>(Word.c_str()));
   Arguments.push_back(nullptr);
-  const std::string Variable = "DRAGONFLYSTALL_SETTINGS=" + Settings;
   const std::array<char *, 2> Environment = {
       const_cast<char *>(Variable.c_str()), nullptr};
   Pid_ = ::fork();
--- a/soak/child.h
+++ b/soak/child.h
@@ -18,10 +18,10 @@
   Child(const Child &) = delete;
   Child &operator=(const Child &) = delete;
 
-  /// Starts a program with DRAGONFLYSTALL_SETTINGS set; its output is appended
-  /// to a file. Throws std::runtime_error.
+  /// Starts a program with one variable, NAME=VALUE, in its environment; its
+  /// output is appended to a file. Throws std::runtime_error.
   void start(const std::vector<std::string> &Command,
-             const std::string &Settings, const std::string &Output);
+             const std::string &Variable, const std::string &Output);
   void signal(int Number) const;
   bool running() const { return Pid_ > 0; }
   /// Notices an end; returns whether the process has ended since the last call.
--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -7,10 +7,9 @@
 
 namespace {
 
-/// An address may be given to another upstream so long after its holder ended.
-constexpr Duration AddressReuseAfter = 2s;
 constexpr Duration CheckInterval = 100ms;
-const std::string ExtraZone = "zone-1";
+/// The zone that is taken out now and then.
+const std::string OutZone = "zone-1";
 
 } // namespace
 
@@ -57,6 +56,13 @@
   });
 }
 
+void Faults::restart(Node &N, int Signal, Duration Down) {
+  if (!N.ShouldRun)
+    return;
+  All_.stop(N, Signal);
+  restartLater(N, Down);
+}
+
 void Faults::pause(Node &N, Duration Length) {
   if (!N.ShouldRun || N.Paused)
     return;
@@ -70,15 +76,9 @@
 
 void Faults::killAll() {
   for (Host &H : All_.Hosts)
-    if (H.Agent.ShouldRun) {
-      All_.stop(H.Agent, SIGKILL);
-      restartLater(H.Agent, 1s);
-    }
+    restart(H.Agent, SIGKILL, 1s);
   for (Node &N : All_.Balancers)
-    if (N.ShouldRun) {
-      All_.stop(N, SIGKILL);
-      restartLater(N, 1s);
-    }
+    restart(N, SIGKILL, 1s);
 }
 
 void Faults::store(const StoreFaults &Bad, Duration Length) {
@@ -107,7 +107,9 @@
 void Faults::release(Host &H) {
   H.Upstream->drain();
   leaveWhenDrained(H, [this, &H] {
-    later(500ms, [this, &H] { H.Upstream->start(All_.freshId(), 2s); });
+    later(500ms, [this, &H] {
+      H.Upstream->start(All_.freshId(), Upstream::ColdLength);
+    });
   });
 }
 
@@ -115,7 +117,7 @@
   const auto GiveAway = [this, &H] {
     H.Judged.Contact.disturbUntil(Shared_.now());
     All_.stop(H.Agent, SIGTERM);
-    later(AddressReuseAfter, [this, &H] {
+    later(H.Agent.Settings.AddressReuseAfter, [this, &H] {
       All_.stop(H.Agent, SIGKILL);
       later(CheckInterval, [this, &H] { All_.reuse(H); });
     });
@@ -133,24 +135,23 @@
   using platform::ObjectKind;
   if (!All_.Store->names(ObjectKind::Evacuation).empty())
     return;
-  All_.Store->put(ObjectKind::Evacuation, ExtraZone, "{}");
-  All_.Rules.onEvacuation(ExtraZone, Shared_.now());
+  All_.Store->put(ObjectKind::Evacuation, OutZone, "{}");
+  All_.Rules.onEvacuation(OutZone, Shared_.now());
   later(between(6s, 10s), [this] {
     // The judge stops first: what opens from now on may be right.
-    All_.Rules.onReturn(ExtraZone);
-    All_.Store->remove(ObjectKind::Evacuation, ExtraZone);
+    All_.Rules.onReturn(OutZone);
+    All_.Store->remove(ObjectKind::Evacuation, OutZone);
   });
 }
 
 void Faults::dropRoute() {
-  const Endpoint Address = *parseEndpoint("198.18.0.1:80");
-  const auto Node = All_.Manifest.Routes.extract(Address);
+  const auto Node = All_.Manifest.Routes.extract(PrintRoute);
   if (Node.empty())
     return;
   const opaque::Route Route = Node.mapped();
   All_.publish();
-  later(between(2s, 6s), [this, Address, Route] {
-    All_.Manifest.Routes[Address] = Route;
+  later(between(2s, 6s), [this, Route] {
+    All_.Manifest.Routes[PrintRoute] = Route;
     All_.publish();
   });
 }
@@ -164,8 +165,7 @@
   case Fault::StopBalancer:
     if (!Front.ShouldRun)
       return;
-    All_.stop(Front, What == Fault::KillBalancer ? SIGKILL : SIGTERM);
-    restartLater(Front, Length / 2);
+    restart(Front, What == Fault::KillBalancer ? SIGKILL : SIGTERM, Length / 2);
     return note(What, Front.Settings.Name);
   case Fault::PauseBalancer:
     pause(Front, Length);
@@ -188,7 +188,7 @@
     return note(What, "store");
   case Fault::Evacuate:
     evacuate();
-    return note(What, ExtraZone);
+    return note(What, OutZone);
   case Fault::DropRoute:
     dropRoute();
     return note(What, "print");
@@ -205,8 +205,8 @@
   switch (What) {
   case Fault::KillAgent:
   case Fault::StopAgent:
-    All_.stop(H->Agent, What == Fault::KillAgent ? SIGKILL : SIGTERM);
-    return restartLater(H->Agent, Length / 2);
+    return restart(H->Agent, What == Fault::KillAgent ? SIGKILL : SIGTERM,
+                   Length / 2);
   case Fault::PauseAgent:
     return pause(H->Agent, Length);
   case Fault::Reload:
--- a/soak/faults.h
+++ b/soak/faults.h
@@ -77,6 +77,8 @@
   void later(Duration After, Action What);
   void begin(Fault What);
   void restartLater(Node &N, Duration After);
+  /// Ends a process that is to run, and starts it again.
+  void restart(Node &N, int Signal, Duration Down);
   void pause(Node &N, Duration Length);
   void killAll();
   void store(const StoreFaults &Bad, Duration Length);
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -2,6 +2,7 @@
 #include "soak/fleet.h"
 
 #include "platform/otherside.h"
+#include "platform/settings.h"
 
 #include <csignal>
 #include <fstream>
@@ -46,9 +47,8 @@
       StoreAddress_(address(StoreGroup, 0, RelayPort)) {
   Rules.setStart(Shared.now());
   Store = std::make_unique<soak::Store>(Shared, StoreAddress_);
-  const Endpoint First = *parseEndpoint("198.18.0.1:443");
-  const Endpoint Second = *parseEndpoint("198.18.0.1:80");
-  Manifest.Routes = {{First, {"desk", 3s, 1}}, {Second, {"print", 3s, 2}}};
+  Manifest.Routes = {{DeskRoute, {"desk", 3s, 1}},
+                     {PrintRoute, {"print", 3s, 2}}};
   Manifest.Services = {{"desk", {ColdPerSecond}}, {"print", {ColdPerSecond}}};
   publish();
   for (size_t I = 0; I < Options.Balancers; ++I)
@@ -60,7 +60,7 @@
     Addresses.push_back(address(CallerGroup, I, PacketPort));
   Callers = std::make_unique<soak::Callers>(Shared, Rules, Addresses,
                                             Options.Callers);
-  Callers->Routes = {First, First, Second};
+  Callers->Routes = {DeskRoute, DeskRoute, PrintRoute};
   for (const Node &N : Balancers)
     Callers->Fronts.push_back({N.Settings.Packets, N.Settings.Zone, true, {}});
 }
@@ -83,7 +83,7 @@
   for (size_t I = 0; I < std::min<size_t>(3, Options_.Balancers); ++I)
     S.Seeds.push_back(address(BalancerGroup, I, ControlPort));
   S.Grace = 6s;
-  S.HeartbeatInterval = 800ms;
+  S.HeartbeatInterval = Upstream::HeartbeatInterval;
   S.ColdFactor = ColdFactor;
   S.ColdSlack = ColdSlack;
   return S;
@@ -139,7 +139,8 @@
 void Fleet::start(Node &N) {
   N.File = fmt::format("{}/{}.json", Options_.Folder, N.Settings.Name);
   writeSettings(N);
-  N.Process.start({Options_.Program, N.Role}, N.File,
+  N.Process.start({Options_.Program, N.Role},
+                  fmt::format("{}={}", platform::SettingsVariable, N.File),
                   fmt::format("{}/{}.log", Options_.Folder, N.Settings.Name));
   N.ShouldRun = true;
   N.Paused = false;
@@ -177,7 +178,7 @@
   const std::string Id = NewId ? freshId() : H.Upstream->id();
   H.Judged.Contact.disturbUntil(Shared_.now());
   H.Upstream->crash();
-  H.Upstream->start(Id, 2s);
+  H.Upstream->start(Id, Upstream::ColdLength);
 }
 
 void Fleet::reuse(Host &H) {
@@ -186,7 +187,7 @@
   H.Agent.Settings.Name += "r";
   H.Judged.Name = H.Agent.Settings.Name;
   start(H.Agent);
-  H.Upstream->start(freshId(), 2s);
+  H.Upstream->start(freshId(), Upstream::ColdLength);
 }
 
 void Fleet::publish() {
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -14,6 +14,10 @@
 
 namespace dragonflystall::soak {
 
+/// Where callers find the services: 198.18.0.1, ports 443 and 80.
+constexpr Endpoint DeskRoute = {0xc6120001, 443};
+constexpr Endpoint PrintRoute = {0xc6120001, 80};
+
 struct FleetOptions {
   std::string Program;  ///< dragonflystall-node.
   std::string Folder;   ///< For settings and logs; it exists.
--- a/soak/judge.cpp
+++ b/soak/judge.cpp
@@ -73,9 +73,9 @@
                           At.Openings.size()));
 }
 
-void Judge::onOpen(JudgedHost &At, const opaque::FlowId &Flow, TimePoint Now) {
+void Judge::onOpen(JudgedHost &At, const opaque::FlowId &Flow) {
   if (!Dropped_.count(Flow.Route))
-    Open_.try_emplace(Flow, OpenFlow{&At, Now, {}});
+    Open_.try_emplace(Flow, OpenFlow{&At, {}});
 }
 
 void Judge::onCrash(const JudgedHost &At) {
--- a/soak/judge.h
+++ b/soak/judge.h
@@ -5,6 +5,7 @@
 #include "opaque/manifest.h"
 #include "opaque/packet.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <string>
@@ -65,7 +66,7 @@
   /// An upstream has taken a SYN.
   void onOpening(JudgedHost &At, const opaque::FlowId &Flow, TimePoint Now);
   /// An upstream has got the end of a handshake.
-  void onOpen(JudgedHost &At, const opaque::FlowId &Flow, TimePoint Now);
+  void onOpen(JudgedHost &At, const opaque::FlowId &Flow);
   void onClosed(const opaque::FlowId &Flow) { Open_.erase(Flow); }
   /// An upstream has ended with all its flows.
   void onCrash(const JudgedHost &At);
@@ -87,7 +88,6 @@
 private:
   struct OpenFlow {
     JudgedHost *Holder;
-    TimePoint OpenedAt;
     /// Packets that reached other upstreams since the last at its own.
     std::deque<TimePoint> Astray;
   };
--- a/soak/relay.cpp
+++ b/soak/relay.cpp
@@ -1,26 +1,19 @@
 // The relay over libevent's buffered sockets.
 #include "soak/relay.h"
 
+#include "shell/socketaddress.h"
+
 #include <algorithm>
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
-#include <netinet/in.h>
 #include <stdexcept>
+#include <sys/socket.h>
 
 namespace dragonflystall::soak {
 
 namespace {
 
-sockaddr_in toSockaddr(Endpoint Address) {
-  sockaddr_in Result{};
-  Result.sin_family = AF_INET;
-  Result.sin_addr.s_addr = htonl(Address.Ip);
-  Result.sin_port = htons(Address.Port);
-  return Result;
-}
-
 /// Makes the close of a socket a reset.
 void resetOnClose(int Socket) {
   const linger Now = {1, 0};
--- a/soak/store.cpp
+++ b/soak/store.cpp
@@ -8,25 +8,13 @@
 
 namespace dragonflystall::soak {
 
-namespace {
-
-constexpr int StatusCreated = 201;
-
-HttpResponse json(int Status, std::string Body) {
-  return {Status, std::move(Body), std::string(JsonContent)};
-}
-
-} // namespace
-
 Store::Store(node::Services &Shared, Endpoint Listen)
     : Shared_(Shared), Http_(evhttp_new(Shared.Base.get())) {
   evhttp_set_gencb(Http_, &Store::onRequest, this);
   evhttp_set_allowed_methods(Http_, EVHTTP_REQ_GET | EVHTTP_REQ_POST |
                                         EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE);
-  const std::string Ip = toString(Listen);
-  if (evhttp_bind_socket(Http_, Ip.substr(0, Ip.find(':')).c_str(),
-                         Listen.Port) != 0)
-    throw std::runtime_error(Ip + ": cannot listen");
+  if (evhttp_bind_socket(Http_, ipText(Listen.Ip).c_str(), Listen.Port) != 0)
+    throw std::runtime_error(toString(Listen) + ": cannot listen");
 }
 
 Store::~Store() { evhttp_free(Http_); }
@@ -62,8 +50,7 @@
   }
   const HttpResponse Answer = execute(Decoded, *Call);
   const bool Write = Decoded.Method != HttpMethod::Get;
-  if (Write &&
-      std::uniform_real_distribution<>(0, 1)(Shared_.Rng) < Faults_.LostAnswers)
+  if (Write && chance(Shared_.Rng, Faults_.LostAnswers))
     return evhttp_connection_free(evhttp_request_get_connection(Request));
   reply(Request, Answer);
 }
@@ -81,14 +68,14 @@
     const auto It = Listed.find(Call.Name);
     return It == Listed.end()
                ? emptyAnswer(HttpStatus::NotFound)
-               : json(HttpStatus::Ok, platform::encodeObject(It->second));
+               : jsonAnswer(HttpStatus::Ok, platform::encodeObject(It->second));
   }
   platform::Page Page;
   Page.Revision = Revision_;
   for (const auto &[Name, Object] : Listed)
     if (Name > Call.After)
       Page.Objects.push_back(Object);
-  return json(HttpStatus::Ok, platform::encodePage(Page));
+  return jsonAnswer(HttpStatus::Ok, platform::encodePage(Page));
 }
 
 HttpResponse Store::write(const HttpRequest &Request,
@@ -99,7 +86,7 @@
   const bool Stale =
       Exists && Call.Revision && *Call.Revision != It->second.Revision;
   if (Stale || (Exists && Request.Method == HttpMethod::Post))
-    return json(HttpStatus::Conflict, platform::encodeObject(It->second));
+    return jsonAnswer(HttpStatus::Conflict, platform::encodeObject(It->second));
   if (!Exists && Request.Method != HttpMethod::Post)
     return emptyAnswer(HttpStatus::NotFound);
   if (Request.Method == HttpMethod::Delete) {
@@ -107,8 +94,8 @@
     return emptyAnswer(HttpStatus::Ok);
   }
   change(Call.Kind, {Call.Name, 0, Call.Content}, /*Removed=*/false);
-  return json(Exists ? HttpStatus::Ok : StatusCreated,
-              platform::encodeObject(Kinds_[Call.Kind][Call.Name]));
+  return jsonAnswer(Exists ? HttpStatus::Ok : HttpStatus::Created,
+                    platform::encodeObject(Kinds_[Call.Kind][Call.Name]));
 }
 
 void Store::change(const std::string &Kind, platform::Object What,
@@ -152,7 +139,7 @@
       News.Events.push_back(E.What);
   if (News.Events.empty())
     return std::nullopt;
-  return json(HttpStatus::Ok, platform::encodeChanges(News));
+  return jsonAnswer(HttpStatus::Ok, platform::encodeChanges(News));
 }
 
 void Store::answerWatches() {
@@ -189,8 +176,9 @@
   if (!Due.Call.WatchFrom)
     return reply(Due.Request, execute(decodeRequest(Due.Request), Due.Call));
   const auto News = changesFor(Due.Call);
-  reply(Due.Request, News.value_or(json(HttpStatus::Ok, platform::encodeChanges(
-                                                            {{}, Revision_}))));
+  reply(Due.Request,
+        News.value_or(jsonAnswer(HttpStatus::Ok,
+                                 platform::encodeChanges({{}, Revision_}))));
 }
 
 void Store::reply(evhttp_request *Request, const HttpResponse &Response) {
--- a/soak/upstream.cpp
+++ b/soak/upstream.cpp
@@ -4,13 +4,10 @@
 #include "platform/otherside.h"
 #include "platform/packetformat.h"
 
-#include <stdexcept>
-
 namespace dragonflystall::soak {
 
 namespace {
 
-constexpr Duration HeartbeatInterval = 800ms;
 constexpr Duration HeartbeatTimeout = 1s;
 constexpr uint32_t Slots = 4;
 /// An upstream that nobody heard leave ends all the same.
@@ -22,10 +19,7 @@
                    Addresses Where)
     : Shared_(Shared), Rules_(Rules), Host_(Host), Where_(Where),
       Heartbeats_(Shared.Base.get(), Where.Heartbeats) {
-  auto Bound = UdpSocket::bind(Where.Packets);
-  if (!Bound)
-    throw std::runtime_error(toString(Where.Packets) + ": " + Bound.error());
-  Socket_ = std::move(*Bound);
+  Socket_ = UdpSocket::bindOrThrow(Where.Packets);
   Watch_ = std::make_unique<node::ReadWatch>(
       Shared.Base.get(), Socket_->descriptor(), [this] {
         Socket_->receive(
@@ -146,7 +140,7 @@
     return send(platform::returnPacket(Bytes));
   if (!F.Open) {
     F.Open = true;
-    Rules_.onOpen(Host_, Id, Now);
+    Rules_.onOpen(Host_, Id);
   }
   if (Head->PayloadBytes > 0)
     onRequest(Id, F, *Head, platform::payloadOf(Bytes), Now);
--- a/soak/upstream.h
+++ b/soak/upstream.h
@@ -15,6 +15,10 @@
 
 class Upstream {
 public:
+  static constexpr Duration HeartbeatInterval = 800ms;
+  /// How long one is cold that starts while there is traffic.
+  static constexpr Duration ColdLength = 2s;
+
   struct Addresses {
     Endpoint Packets;    ///< Where it takes packets, from its agent only.
     Endpoint Outbound;   ///< Where it sends its own.
--- a/src/caller/callersocket.cpp
+++ b/src/caller/callersocket.cpp
@@ -1,12 +1,13 @@
 // System calls of the caller's socket.
 #include "caller/callersocket.h"
 
+#include "shell/socketaddress.h"
+
 #include "wire/coap.h"
 
 #include <array>
 #include <cerrno>
 #include <cstring>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -17,14 +18,6 @@
 
 constexpr size_t MaxDatagram = 2048;
 
-sockaddr_in toSystem(Endpoint Address) {
-  sockaddr_in Result{};
-  Result.sin_family = AF_INET;
-  Result.sin_addr.s_addr = htonl(Address.Ip);
-  Result.sin_port = htons(Address.Port);
-  return Result;
-}
-
 } // namespace
 
 tl::expected<CallerSocket, std::string>
@@ -33,8 +26,8 @@
       ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   if (Socket.Descriptor_ < 0)
     return tl::unexpected(std::string(std::strerror(errno)));
-  const sockaddr_in From = toSystem(Local);
-  const sockaddr_in To = toSystem(Service);
+  const sockaddr_in From = toSockaddr(Local);
+  const sockaddr_in To = toSockaddr(Service);
   if (::bind(Socket.Descriptor_, reinterpret_cast<const sockaddr *>(&From),
              sizeof(From)) != 0 ||
       ::connect(Socket.Descriptor_, reinterpret_cast<const sockaddr *>(&To),
--- a/src/node/process.cpp
+++ b/src/node/process.cpp
@@ -76,10 +76,7 @@
 
 UdpSocket &Process::bindUdpBatches(Endpoint Local,
                                    UdpSocket::BatchReceiver Each) {
-  auto Socket = UdpSocket::bind(Local);
-  if (!Socket)
-    throw std::runtime_error(toString(Local) + ": " + Socket.error());
-  UdpSocket &Result = *Sockets_.emplace_back(std::move(*Socket));
+  UdpSocket &Result = *Sockets_.emplace_back(UdpSocket::bindOrThrow(Local));
   SocketWatches_.emplace_back(Shared_.Base.get(), Result.descriptor(),
                               [this, &Result, Each = std::move(Each)] {
                                 Result.receiveBatches(Each);
@@ -164,11 +161,10 @@
     return emptyAnswer(ready() && !Stopping_ ? HttpStatus::Ok
                                              : HttpStatus::Unavailable);
   if (Path == "/state")
-    return {
+    return jsonAnswer(
         HttpStatus::Ok,
         platform::encodePeerState({Config_.manifestContent(),
-                                   config().evacuations(), agentsForPeers()}),
-        std::string(JsonContent)};
+                                   config().evacuations(), agentsForPeers()}));
   if (Path == "/metrics") {
     ManifestVersion_.set(config().manifest().Version);
     StoreUp_.set(Health_.up());
--- a/src/observe/admin.cpp
+++ b/src/observe/admin.cpp
@@ -17,11 +17,6 @@
 constexpr const char *JsonLines = "application/jsonlines";
 constexpr const char *PrometheusText = "text/plain; version=0.0.4";
 
-std::string ipOf(Endpoint Address) {
-  const std::string Text = toString(Address);
-  return Text.substr(0, Text.rfind(':'));
-}
-
 /// Anything that is no number counts as 0: the whole ring.
 uint64_t sinceOf(const httplib::Request &Request) {
   const std::string Text = Request.get_param_value("since");
@@ -86,7 +81,7 @@
   S.Server.set_keep_alive_timeout(KeepAliveSeconds);
   S.Server.set_read_timeout(ReadTimeoutSeconds);
   S.addRoutes();
-  if (!S.Server.bind_to_port(ipOf(Local), Local.Port))
+  if (!S.Server.bind_to_port(ipText(Local.Ip), Local.Port))
     return tl::unexpected(fmt::format("cannot bind {}", toString(Local)));
   S.Listener = std::thread([&S] { S.Server.listen_after_bind(); });
   // A stop before the listener runs would be lost.
--- a/src/opaque/directory.cpp
+++ b/src/opaque/directory.cpp
@@ -135,15 +135,16 @@
 
 void Directory::onRefusal(const std::string &Service, Endpoint Packets,
                           TimePoint Now) {
-  const bool OthersOpen = openSlotsOf(Service, Now) > 0;
   for (Agent *A : of(Service)) {
     if (A->Entry.Packets != Packets)
       continue;
-    if (A->Last.State == Intake::Cold)
+    if (A->Last.State == Intake::Cold) {
+      const bool OthersOpen = openSlotsOf(Service, Now) > 0;
       A->RefusesUntil = Now + (OthersOpen ? ColdPause : AllColdPause);
-    else
+    } else {
       A->Last.Busy =
           std::max<double>(A->Last.Busy, FullPerSlot * A->Last.Slots);
+    }
   }
 }
 
--- a/src/opaque/opaque_test.cpp
+++ b/src/opaque/opaque_test.cpp
@@ -26,6 +26,16 @@
     EXPECT_NE(H, nullptr);
     return *H;
   }
+  /// The SYN of a new flow, as a balancer sends it to an agent.
+  PacketHead placedSyn(uint32_t Tried) {
+    PacketHead Head = W.packet(W.newFlow(DeskRoute));
+    Head.Syn = true;
+    Trail Way;
+    Way.How = Trail::Mode::Place;
+    Way.Tried = Tried;
+    Head.Echo = Way.encode();
+    return Head;
+  }
   void TearDown() override { EXPECT_EQ(W.Broken, ""); }
 };
 
@@ -403,12 +413,7 @@
 TEST_F(Opaque, CopiesOfSynsLeaveRoomForRequests) {
   FakeHost &H = W.Hosts[0];
   const auto Syn = [&] {
-    PacketHead Head = W.packet(W.newFlow(DeskRoute));
-    Head.Syn = true;
-    Trail Way;
-    Way.How = Trail::Mode::Place;
-    Way.Tried = 1;
-    Head.Echo = Way.encode();
+    const PacketHead Head = placedSyn(/*Tried=*/1);
     const auto Action = H.Entrance->fromBalancer(Head, First->Address, W.Now);
     PacketHead Answer;
     Answer.Source = Head.Destination;
@@ -433,12 +438,7 @@
 TEST_F(Opaque, AFlowQueuesOnlyWhenItFoundNoRoomElsewhere) {
   FakeHost &H = W.Hosts[0];
   const auto Admitted = [&](uint32_t Tried) {
-    PacketHead Head = W.packet(W.newFlow(DeskRoute));
-    Head.Syn = true;
-    Trail Way;
-    Way.How = Trail::Mode::Place;
-    Way.Tried = Tried;
-    Head.Echo = Way.encode();
+    const PacketHead Head = placedSyn(Tried);
     const auto Action = H.Entrance->fromBalancer(Head, First->Address, W.Now);
     return Action.Why == GateReason::Admitted;
   };
--- a/src/opaque/opaqueworld_test.h
+++ b/src/opaque/opaqueworld_test.h
@@ -231,7 +231,7 @@
 
 private:
   void later(std::function<void()> What) {
-    if (Loss > 0 && std::uniform_real_distribution<>(0, 1)(Rng) < Loss)
+    if (chance(Rng, Loss))
       return;
     Events_.emplace(Now + Delay, std::move(What));
   }
--- a/src/requests/hintpoller.cpp
+++ b/src/requests/hintpoller.cpp
@@ -58,8 +58,7 @@
 }
 
 UpstreamHint HintPoller::ask() const {
-  const std::string Address = toString(Upstream_);
-  httplib::Client Client(Address.substr(0, Address.find(':')), Upstream_.Port);
+  httplib::Client Client(ipText(Upstream_.Ip), Upstream_.Port);
   Client.set_connection_timeout(PollTimeout);
   Client.set_read_timeout(PollTimeout);
   const nlohmann::json Health = getJson(Client, "/health");
--- a/src/requests/upstreamclient.cpp
+++ b/src/requests/upstreamclient.cpp
@@ -214,9 +214,8 @@
                      SteadyClock::now() - Own.LastUsed < MaxIdle;
   if (Fresh)
     return;
-  const std::string Address = toString(Upstream);
-  const std::string Host = Address.substr(0, Address.find(':'));
-  auto Client = std::make_unique<httplib::Client>(Host, Upstream.Port);
+  auto Client =
+      std::make_unique<httplib::Client>(ipText(Upstream.Ip), Upstream.Port);
   Client->set_keep_alive(true);
   Client->set_tcp_nodelay(true);
   Client->set_url_encode(false);
--- a/src/shell/controlbus.cpp
+++ b/src/shell/controlbus.cpp
@@ -33,11 +33,6 @@
 
 int count(milliseconds Value) { return static_cast<int>(Value.count()); }
 
-std::string ipText(uint32_t Ip) {
-  const std::string WithPort = toString(Endpoint{Ip, 1});
-  return WithPort.substr(0, WithPort.find(':'));
-}
-
 void setCommonOptions(zmq::socket_t &Socket) {
   Socket.set(zmq::sockopt::linger, 0);
   Socket.set(zmq::sockopt::sndhwm, SendQueueLimit);
--- a/src/shell/http.cpp
+++ b/src/shell/http.cpp
@@ -23,11 +23,6 @@
 /// What callers of our servers send is a few hundred bytes.
 constexpr ssize_t MostRequestBytes = 64 << 10;
 
-std::string textOf(uint32_t Ip) {
-  const std::string Full = toString(Endpoint{Ip, 0});
-  return Full.substr(0, Full.find(':'));
-}
-
 std::string bodyOf(evbuffer *Buffer) {
   std::string Body(evbuffer_get_length(Buffer), '\0');
   evbuffer_copyout(Buffer, Body.data(), Body.size());
@@ -88,7 +83,7 @@
     return;
   close();
   Connection = evhttp_connection_base_new(
-      Base, nullptr, textOf(Server.Ip).c_str(), Server.Port);
+      Base, nullptr, ipText(Server.Ip).c_str(), Server.Port);
   Broken = false;
 }
 
@@ -207,7 +202,7 @@
 HttpServer::~HttpServer() { evhttp_free(State_->Http); }
 
 bool HttpServer::listen(Endpoint Local) {
-  return evhttp_bind_socket(State_->Http, textOf(Local.Ip).c_str(),
+  return evhttp_bind_socket(State_->Http, ipText(Local.Ip).c_str(),
                             Local.Port) == 0;
 }
 
--- a/src/shell/http.h
+++ b/src/shell/http.h
@@ -25,6 +25,7 @@
 /// The status codes that we send or tell apart.
 struct HttpStatus {
   static constexpr int Ok = 200;
+  static constexpr int Created = 201;
   static constexpr int BadRequest = 400;
   static constexpr int NotFound = 404;
   static constexpr int Conflict = 409;
@@ -48,10 +49,11 @@
   bool succeeded() const { return Status / 100 == 2; }
 };
 
-/// An empty JSON object.
-inline HttpResponse emptyAnswer(int Status) {
-  return {Status, "{}", std::string(JsonContent)};
+inline HttpResponse jsonAnswer(int Status, std::string Body) {
+  return {Status, std::move(Body), std::string(JsonContent)};
 }
+/// An empty JSON object.
+inline HttpResponse emptyAnswer(int Status) { return jsonAnswer(Status, "{}"); }
 
 /// The request may or may not have been carried out.
 struct HttpFailure {
--- a/src/shell/udpsocket.cpp
+++ b/src/shell/udpsocket.cpp
@@ -3,11 +3,12 @@
 #include "udpsocket.h"
 
 #include "descriptor.h"
+#include "socketaddress.h"
 
 #include <array>
 #include <cerrno>
 #include <cstring>
-#include <netinet/in.h>
+#include <stdexcept>
 #include <sys/socket.h>
 #include <system_error>
 
@@ -21,18 +22,6 @@
 /// Room for bursts while the process is busy; the kernel may grant less.
 constexpr int SocketBufferBytes = 4 << 20;
 
-sockaddr_in toSockaddr(Endpoint Address) {
-  sockaddr_in Result{};
-  Result.sin_family = AF_INET;
-  Result.sin_addr.s_addr = htonl(Address.Ip);
-  Result.sin_port = htons(Address.Port);
-  return Result;
-}
-
-Endpoint toEndpoint(const sockaddr_in &Address) {
-  return {ntohl(Address.sin_addr.s_addr), ntohs(Address.sin_port)};
-}
-
 /// Fixed buffers for one system call. Invariant: Headers[I] points at
 /// Vectors[I], Buffers[I] and Addresses[I].
 struct Batch {
@@ -92,6 +81,13 @@
   return Result;
 }
 
+std::unique_ptr<UdpSocket> UdpSocket::bindOrThrow(Endpoint Local) {
+  auto Bound = bind(Local);
+  if (!Bound)
+    throw std::runtime_error(toString(Local) + ": " + Bound.error());
+  return std::move(*Bound);
+}
+
 int UdpSocket::descriptor() const { return State_->Socket.get(); }
 
 bool UdpSocket::State::receiveBatch(const BatchReceiver &Each) {
--- a/src/shell/udpsocket.h
+++ b/src/shell/udpsocket.h
@@ -30,6 +30,8 @@
   /// Binds; the error is the system's text.
   static tl::expected<std::unique_ptr<UdpSocket>, std::string>
   bind(Endpoint Local);
+  /// The same; throws std::runtime_error with the address and the cause.
+  static std::unique_ptr<UdpSocket> bindOrThrow(Endpoint Local);
   ~UdpSocket();
   UdpSocket(const UdpSocket &) = delete;
   UdpSocket &operator=(const UdpSocket &) = delete;
--- a/src/types/types.cpp
+++ b/src/types/types.cpp
@@ -28,13 +28,13 @@
   return Value;
 }
 
+} // namespace
+
 std::string ipText(uint32_t Ip) {
   return fmt::format("{}.{}.{}.{}", Ip >> 24, (Ip >> 16) & 255, (Ip >> 8) & 255,
                      Ip & 255);
 }
 
-} // namespace
-
 std::optional<Endpoint> parseEndpoint(std::string_view Text) {
   const size_t Colon = Text.rfind(':');
   if (Colon == std::string_view::npos)
--- a/standins/platform.cpp
+++ b/standins/platform.cpp
@@ -331,7 +331,7 @@
   serveSwitches(Server, Served, Connections);
 
   const std::string Address = toString(Listen);
-  if (!Server.bind_to_port(Address.substr(0, Address.find(':')), Listen.Port)) {
+  if (!Server.bind_to_port(ipText(Listen.Ip), Listen.Port)) {
     fmt::print(stderr, "cannot listen on {}\n", Address);
     return 1;
   }
--- a/standins/upstream.cpp
+++ b/standins/upstream.cpp
@@ -208,10 +208,9 @@
     return httplib::Server::HandlerResponse::Unhandled;
   });
   addRoutes();
-  const std::string Listen = toString(Options_.Listen);
-  const std::string Ip = Listen.substr(0, Listen.rfind(':'));
-  if (!Server_.bind_to_port(Ip, Options_.Listen.Port)) {
-    fmt::print(stderr, "cannot bind {}\n", Listen);
+  const Endpoint Listen = Options_.Listen;
+  if (!Server_.bind_to_port(ipText(Listen.Ip), Listen.Port)) {
+    fmt::print(stderr, "cannot bind {}\n", toString(Listen));
     return 1;
   }
   return Server_.listen_after_bind() ? 0 : 1;
