Routes with several services; open flows outlive changes of their route

Cause: serviceOf() took the heaviest back end of a route and dropped the rest.

Now new flows are shared out by weighted rendezvous hashing of flow and service, the gate decides on SYNs by the route and on other packets by whether its upstream may hold the flow, and the search covers all services that the route names or named within the greatest age of a flow. Packets on open flows carry 28 bits of the addressed agent's hash, in bits that only placements used, in place of the check of the route.

--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -47,8 +47,8 @@
       StoreAddress_(address(StoreGroup, 0, RelayPort)) {
   Checker.setStart(Shared.now());
   Store = std::make_unique<soak::Store>(Shared, StoreAddress_);
-  Manifest.Routes = {{DeskRoute, {"desk", 3s, 1}},
-                     {PrintRoute, {"print", 3s, 2}}};
+  Manifest.Routes = {{DeskRoute, {{{"desk", 1}}, 3s, 1}},
+                     {PrintRoute, {{{"print", 1}}, 3s, 2}}};
   Manifest.Services = {{"desk", {ColdFlowsPerSecond}},
                        {"print", {ColdFlowsPerSecond}}};
   publish();
--- a/soak/rulechecker.cpp
+++ b/soak/rulechecker.cpp
@@ -32,7 +32,8 @@
     }
   for (const auto &[Address, Route] : Manifest.Routes) {
     RemovedRoutes_.erase(Address);
-    RouteServices_[Address] = Route.Service;
+    for (const opaque::WeightedService &S : Route.Services)
+      RouteServices_[Address].insert(S.Name);
   }
   Manifest_ = Manifest;
 }
@@ -44,7 +45,7 @@
 void RuleChecker::checkRoute(const CheckedHost &Host,
                              const opaque::FlowId &Flow, TimePoint Now) {
   const auto Service = RouteServices_.find(Flow.Route);
-  if (Service == RouteServices_.end() || Service->second != Host.Service)
+  if (Service == RouteServices_.end() || !Service->second.count(Host.Service))
     reportViolation(Now, fmt::format("flow {} opens at {}, which serves {}",
                                      toString(Flow), Host.Name, Host.Service));
 }
--- a/soak/rulechecker.h
+++ b/soak/rulechecker.h
@@ -122,7 +122,8 @@
   /// Removed routes and the times of their removal.
   std::map<Endpoint, TimePoint> RemovedRoutes_;
   std::map<std::string, TimePoint> EvacuatedZones_;
-  std::map<Endpoint, std::string> RouteServices_; ///< Of all routes so far.
+  /// The services of all routes in all manifests so far.
+  std::map<Endpoint, std::set<std::string>> RouteServices_;
   std::map<opaque::FlowId, OpenFlow> OpenFlows_;
   /// Stability of the balancer to which a flow's last packet was sent.
   std::map<opaque::FlowId, const StabilityTracker *> BalancerStability_;
--- a/src/node/agent.cpp
+++ b/src/node/agent.cpp
@@ -37,12 +37,15 @@
     // delivers late.
     : Process(Initial, std::move(ReadSettings), "agent",
               {Initial.Store, Initial.Seeds,
-               platform::Consistency::Serializable, /*AlwaysAskSeeds=*/false}),
+               platform::Consistency::Serializable,
+               /*AlwaysFetchFromSeeds=*/false, Initial.MaxFlowAge,
+               Initial.FirstStart}),
       Upstream_({Initial.Upstream, Initial.Zone, Initial.AddressReuseAfter,
                  Initial.HeartbeatInterval, Initial.ColdFactor,
                  Initial.ColdSlack},
                 config(), Services_.now()),
-      Gate_(config(), Upstream_, Initial.Service, MaxFlows, Services_.now()),
+      Gate_(config(), Upstream_, agentId(Initial.Name), Initial.Service,
+            MaxFlows, Services_.now()),
       Registration_(Services_.Rng()),
       StoreChannel_(Services_.Base.get(), Initial.Store),
       ResponseTimes_(Services_.Counts.histogram(
--- a/src/node/balancer.cpp
+++ b/src/node/balancer.cpp
@@ -29,7 +29,9 @@
 Balancer::Balancer(const Settings &Initial, SettingsReader ReadSettings)
     : Process(Initial, std::move(ReadSettings), "balancer",
               {Initial.Store, Initial.Seeds,
-               platform::Consistency::Linearizable, /*AlwaysAskSeeds=*/true}),
+               platform::Consistency::Linearizable,
+               /*AlwaysFetchFromSeeds=*/true, Initial.MaxFlowAge,
+               Initial.FirstStart}),
       Agents_(Initial.Zone, Services_.Rng()),
       Steering_(config(), Agents_, CachedFlows, Services_.now()),
       AgentWatcher_(
--- a/src/node/configsource.cpp
+++ b/src/node/configsource.cpp
@@ -18,16 +18,19 @@
 constexpr Duration FetchInterval = 500ms;
 constexpr Duration FetchTimeout = 1s;
 
+constexpr std::array<std::string_view, 3> SourceNames = {"list", "watch",
+                                                         "peer"};
+
 } // namespace
 
 ConfigSource::ConfigSource(Services &Shared, StoreHealth &Health,
                            ConfigSources Sources, Callbacks Notify)
     : Services_(Shared), Sources_(std::move(Sources)),
-      Callbacks_(std::move(Notify)),
+      Callbacks_(std::move(Notify)), Config_(Sources_.MaxFlowAge),
       Manifests_(Shared, Health, Sources_.Store, platform::ObjectKind::Manifest,
                  Sources_.WatchConsistency,
                  {[this](const platform::Page &P, bool) {
-                    onManifests(P.Objects, "store");
+                    onManifests(P.Objects, Source::List);
                   },
                   nullptr,
                   [this](const platform::Changes &C) {
@@ -35,7 +38,7 @@
                     for (const platform::Change &Event : C.Events)
                       if (!Event.Removed)
                         Objects.push_back(Event.Item);
-                    onManifests(Objects, "store");
+                    onManifests(Objects, Source::Watch);
                   }}),
       Evacuations_(
           Shared, Health, Sources_.Store, platform::ObjectKind::Evacuation,
@@ -57,7 +60,10 @@
                  ListedZones_.insert(Event.Item.Name);
              offerEvacuations({C.Revision, ListedZones_}, "store");
            }}),
-      StartedAt_(Shared.now()) {}
+      StartedAt_(Shared.now()) {
+  if (Sources_.FirstStart)
+    Config_.history().onFirstStart(StartedAt_);
+}
 
 void ConfigSource::poll(TimePoint Now) {
   Manifests_.poll(Now);
@@ -76,24 +82,29 @@
 }
 
 void ConfigSource::onManifests(const std::vector<platform::Object> &Objects,
-                               std::string_view From) {
+                               Source From) {
   for (const platform::Object &O : Objects)
     offerManifest(O.Content, From);
 }
 
-bool ConfigSource::offerManifest(const std::string &Content,
-                                 std::string_view From) {
+bool ConfigSource::offerManifest(const std::string &Content, Source From) {
+  const std::string_view FromName = SourceNames[static_cast<size_t>(From)];
   auto Newer = platform::decodeManifest(Content);
+  const int64_t Before = Config_.manifest().Version;
   if (!Newer) {
-    Services_.log(LogClass::State, "manifest-unreadable").text("from", From);
+    Services_.log(LogClass::State, "manifest-refused")
+        .text("from", FromName)
+        .text("error", Newer.error())
+        .number("version", Before);
     return false;
   }
-  const int64_t Before = Config_.manifest().Version;
-  if (!Config_.offer(std::move(*Newer)))
+  const auto Continuity = From == Source::Watch ? opaque::Continuity::Unbroken
+                                                : opaque::Continuity::Gap;
+  if (!Config_.offer(std::move(*Newer), Continuity, Services_.now()))
     return false;
   ManifestContent_ = Content;
   Services_.log(LogClass::State, "manifest")
-      .text("from", From)
+      .text("from", FromName)
       .number("version", Config_.manifest().Version)
       .number("before", Before)
       .number("routes", Config_.manifest().Routes.size());
@@ -150,7 +161,8 @@
   BehindSince_.reset();
   const int64_t Revision = Config_.evacuations().Revision;
   const bool NewManifest = !State.ManifestContent.empty() &&
-                           offerManifest(State.ManifestContent, "peer");
+                           offerManifest(State.ManifestContent, Source::Peer);
+  Config_.history().merge(State.History, Services_.now());
   if (State.Evacuations.Revision > 0)
     offerEvacuations(State.Evacuations, "peer");
   if (Callbacks_.OnAgents)
--- a/src/node/configsource.h
+++ b/src/node/configsource.h
@@ -17,6 +17,10 @@
   /// Fetch the state of a seed at the start even if the store answers: a peer
   /// may know agents that the store does not list at the moment.
   bool AlwaysFetchFromSeeds = false;
+  /// A flow that is older than this may be dropped.
+  Duration MaxFlowAge = opaque::RouteHistory::DefaultMaxFlowAge;
+  /// The deployment starts for the first time: there are no flows yet.
+  bool FirstStart = false;
 };
 
 class ConfigSource {
@@ -47,9 +51,11 @@
   }
 
 private:
-  void onManifests(const std::vector<platform::Object> &Objects,
-                   std::string_view From);
-  bool offerManifest(const std::string &Content, std::string_view From);
+  /// A manifest's continuity with the one before depends on its source.
+  enum class Source : uint8_t { List, Watch, Peer };
+
+  void onManifests(const std::vector<platform::Object> &Objects, Source From);
+  bool offerManifest(const std::string &Content, Source From);
   void offerEvacuations(opaque::Evacuations Newer, std::string_view From);
   void fetch(Endpoint Peer, TimePoint Now);
   void onPeerState(const platform::PeerState &State);
--- a/src/node/process.cpp
+++ b/src/node/process.cpp
@@ -169,7 +169,8 @@
     return jsonResponse(
         HttpStatus::Ok,
         platform::encodePeerState({Config_.manifestContent(),
-                                   config().evacuations(), agentsForPeers()}));
+                                   config().evacuations(), agentsForPeers(),
+                                   config().history().state(Services_.now())}));
   if (Path == "/metrics") {
     ManifestVersion_.set(config().manifest().Version);
     StoreUp_.set(Health_.up());
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -37,6 +37,10 @@
   /// Time from the stop signal until the process is killed.
   Duration Grace = 5s;
   Duration AddressReuseAfter = 2s;
+  /// A flow that is older than this may be dropped.
+  Duration MaxFlowAge = 60s;
+  /// The deployment starts for the first time: there are no flows yet.
+  bool FirstStart = false;
   /// The approximate interval between two heartbeats of an upstream.
   Duration HeartbeatInterval = 1s;
   double ColdFactor = 1;
--- a/src/opaque/directory.cpp
+++ b/src/opaque/directory.cpp
@@ -190,6 +190,15 @@
   return Best;
 }
 
+bool Directory::canServe(const std::string &Service, TimePoint Now) const {
+  const std::vector<Agent *> &Members = agentsOf(Service);
+  return std::any_of(Members.begin(), Members.end(), [&](const Agent *Member) {
+    if (isSuspect(*Member, Now))
+      return false;
+    return !Member->hasAnswered() || takesFlows(Member->LastReport.State);
+  });
+}
+
 std::optional<TimePoint> Directory::nextCapacityAt(const std::string &Service,
                                                    TimePoint Now) const {
   std::optional<TimePoint> Next;
--- a/src/opaque/directory.h
+++ b/src/opaque/directory.h
@@ -102,6 +102,9 @@
   static uint32_t triedBit(const Agent &Member);
   /// All agents of a service.
   const std::vector<Agent *> &agentsOf(const std::string &Service) const;
+  /// Whether some agent of a service takes new flows, or may take them once it
+  /// has answered the first ping.
+  bool canServe(const std::string &Service, TimePoint Now) const;
   /// When an agent of a service should have room: now if one is open, else when
   /// the next cold agent will be warm; std::nullopt if neither is known.
   std::optional<TimePoint> nextCapacityAt(const std::string &Service,
--- a/src/opaque/forwardingstate.h
+++ b/src/opaque/forwardingstate.h
@@ -4,7 +4,7 @@
 #ifndef DRAGONFLYSTALL_SRC_OPAQUE_FORWARDINGSTATE_H
 #define DRAGONFLYSTALL_SRC_OPAQUE_FORWARDINGSTATE_H
 
-#include <cstdint>
+#include "dragonflystall/types.h"
 
 namespace dragonflystall::opaque {
 
@@ -23,12 +23,21 @@
   bool WasQueued = false;
   /// Place: bit set of the agents tried so far; see Directory::triedBit.
   uint32_t Tried = 0;
+  /// Held, Search: the agent for which the packet is meant, since its address
+  /// may have been reused; see addresseeOf.
+  uint32_t Addressee = 0;
 
   static constexpr unsigned TriedBits = 28;
+  static constexpr unsigned AddresseeBits = 28;
+
+  static uint32_t addresseeOf(AgentId Id) {
+    return static_cast<uint32_t>(Id) & ((1u << AddresseeBits) - 1);
+  }
 
   uint32_t encode() const {
     return static_cast<uint32_t>(ForwardMode) | uint32_t{Refused} << 2 |
-           uint32_t{WasQueued} << 3 | Tried << 4;
+           uint32_t{WasQueued} << 3 |
+           (ForwardMode == Mode::Place ? Tried : Addressee) << 4;
   }
 
   static ForwardingState decode(uint32_t Echo) {
@@ -36,7 +45,8 @@
     Result.ForwardMode = static_cast<Mode>(Echo & 3);
     Result.Refused = Echo & 4;
     Result.WasQueued = Echo & 8;
-    Result.Tried = Echo >> 4;
+    (Result.ForwardMode == Mode::Place ? Result.Tried : Result.Addressee) =
+        Echo >> 4;
     return Result;
   }
 
--- a/src/opaque/gate.cpp
+++ b/src/opaque/gate.cpp
@@ -1,6 +1,7 @@
 // Admission of new flows and forwarding of packets at one upstream.
 #include "opaque/gate.h"
 
+#include <algorithm>
 #include <bit>
 #include <cmath>
 
@@ -45,7 +46,7 @@
   const Route *Route = Config_.manifest().routeAt(Head.Destination);
   if (!Route)
     return refuse(Head, Balancer, GateReason::NoRoute);
-  if (Route->Service != service())
+  if (!Route->sendsTo(service()))
     return refuse(Head, Balancer, GateReason::WrongService);
   if (!Upstream_.admits(Now))
     return refuse(Head, Balancer,
@@ -74,6 +75,18 @@
   return Upstream_.isReachable(Now);
 }
 
+bool Gate::mayHold(const FlowId &Flow, TimePoint Now) const {
+  if (Flows_.count(hashOf(Flow)) > 0)
+    return true;
+  const Route *Route = Config_.manifest().routeAt(Flow.Route);
+  if (!Route || Route->names(service()))
+    return true;
+  const auto Former = Config_.history().formerServices(Flow.Route, Now);
+  const bool IsFormer =
+      std::find(Former.begin(), Former.end(), service()) != Former.end();
+  return IsFormer || !Config_.history().isComplete(Now);
+}
+
 bool Gate::newData(Flow &Entry, const PacketHead &Head) {
   if (Head.PayloadBytes == 0)
     return false;
@@ -151,8 +164,9 @@
     return {};
   if (Head.opens())
     return admitFlow(Head, Balancer, Now);
-  const Route *Route = Config_.manifest().routeAt(Head.Destination);
-  if (Route && Route->Service != service())
+  if (Forwarding.Addressee != ForwardingState::addresseeOf(Self_))
+    return refuse(Head, Balancer, GateReason::Misaddressed);
+  if (!mayHold(Head.fromCaller(), Now))
     return refuse(Head, Balancer, GateReason::WrongService);
   if (!canPass(Forwarding, Now))
     return refuse(Head, Balancer, GateReason::NotTaking);
@@ -209,6 +223,8 @@
   const auto It = Flows_.find(hashOf(Flow));
   if (It != Flows_.end())
     return It->second.Confirmed ? Holding::Holds : Holding::Unsure;
+  if (!mayHold(Flow, Now))
+    return Holding::Denies;
   // A flow that has been idle for longer than the timeout may be dropped.
   const bool IsComplete =
       !CompleteSince_ ||
--- a/src/opaque/gate.h
+++ b/src/opaque/gate.h
@@ -21,15 +21,17 @@
   Answered,     ///< Packet of the upstream, passed to the caller.
   Bounced,      ///< The upstream returned the packet.
   NoRoute,      ///< Refused: the destination is not in the manifest.
-  WrongService, ///< Refused: the route belongs to another service.
+  WrongService, ///< Refused: the route does not name the upstream's service.
+  Misaddressed, ///< Refused: the packet is meant for another agent.
   NotTaking,    ///< Refused: the intake state does not allow it.
   OverBudget,   ///< Refused: the cold-start budget is used up.
   Full,         ///< Refused: the upstream has too many requests.
   Stray,        ///< Dropped: a balancer may not send this packet.
 };
-constexpr std::array<std::string_view, 10> GateReasonNames = {
-    "admitted",      "passed",     "answered",    "bounced", "no-route",
-    "wrong-service", "not-taking", "over-budget", "full",    "stray"};
+constexpr std::array<std::string_view, 11> GateReasonNames = {
+    "admitted",    "passed",        "answered",     "bounced",
+    "no-route",    "wrong-service", "misaddressed", "not-taking",
+    "over-budget", "full",          "stray"};
 constexpr std::string_view name(GateReason R) {
   return GateReasonNames[static_cast<size_t>(R)];
 }
@@ -52,10 +54,10 @@
 
 class Gate {
 public:
-  Gate(const Configuration &Config, Upstream &LocalUpstream,
+  Gate(const Configuration &Config, Upstream &LocalUpstream, AgentId Self,
        std::string Service, size_t MaxFlows, TimePoint Started)
-      : Config_(Config), Upstream_(LocalUpstream), Service_(std::move(Service)),
-        CompleteSince_(Started) {
+      : Config_(Config), Upstream_(LocalUpstream), Self_(Self),
+        Service_(std::move(Service)), CompleteSince_(Started) {
     Flows_.reserve(MaxFlows / 4);
   }
 
@@ -105,6 +107,10 @@
   static bool newData(Flow &Entry, const PacketHead &Head);
   /// Whether a packet without SYN can be passed to the upstream.
   bool canPass(const ForwardingState &Forwarding, TimePoint Now) const;
+  /// Whether the upstream may hold the flow. An open flow stays where it is
+  /// when its route names other services, so the present route alone does not
+  /// tell.
+  bool mayHold(const FlowId &Flow, TimePoint Now) const;
   /// Whether the upstream's slots allow one more new flow.
   bool hasRoomFor(const ForwardingState &Forwarding) const;
   void expireOpenings(TimePoint Now);
@@ -121,6 +127,7 @@
 
   const Configuration &Config_;
   Upstream &Upstream_;
+  AgentId Self_;
   std::string Service_; ///< From the settings, until the first heartbeat.
   std::unordered_map<uint64_t, Flow> Flows_;
   uint32_t BusyFlows_ = 0; ///< Number of flows with Busy set.
--- a/src/opaque/manifest.h
+++ b/src/opaque/manifest.h
@@ -1,38 +1,25 @@
 // The part of the operators' configuration that concerns opaque flows. A
-// process keeps the newest version that it has received from any source.
+// process keeps the newest version that it has received from any source, and
+// remembers which services its routes named before.
 #ifndef DRAGONFLYSTALL_SRC_OPAQUE_MANIFEST_H
 #define DRAGONFLYSTALL_SRC_OPAQUE_MANIFEST_H
 
-#include "dragonflystall/types.h"
+#include "opaque/route.h"
+#include "opaque/routehistory.h"
 
 #include <map>
 #include <set>
-#include <string>
-#include <unordered_map>
 
 namespace dragonflystall::opaque {
 
-struct EndpointHash {
-  size_t operator()(Endpoint E) const {
-    return std::hash<uint64_t>()(uint64_t{E.Ip} << 16 | E.Port);
-  }
-};
-
 /// Limit on new flows per second while an upstream warms up.
 struct WarmUp {
   double PerSecond = 0;
 };
 
-struct Route {
-  std::string Service; ///< The service that takes new flows.
-  /// A caller's timeout for the answer to a request; 0 if not given.
-  Duration Timeout{};
-  uint32_t Priority = 0; ///< 0 is the most urgent.
-};
-
 struct Manifest {
   int64_t Version = 0;
-  std::unordered_map<Endpoint, Route, EndpointHash> Routes;
+  RouteMap Routes;
   std::map<std::string, WarmUp> Services;
   Duration FlowIdleTimeout = 15s;
 
@@ -49,10 +36,20 @@
   std::set<std::string> Zones;
 };
 
+/// Whether a process has seen every version between its manifest and a newer
+/// one.
+enum class Continuity : uint8_t {
+  Unbroken, ///< An event of a watch, which reports each version.
+  Gap,      ///< A list or a peer's state: versions may have been skipped.
+};
+
 /// Invariant: the version of either part never decreases while the process
 /// runs.
 class Configuration {
 public:
+  explicit Configuration(Duration MaxFlowAge = RouteHistory::DefaultMaxFlowAge)
+      : History_(MaxFlowAge) {}
+
   const Manifest &manifest() const { return Manifest_; }
   bool hasManifest() const { return Manifest_.Version > 0; }
   const Evacuations &evacuations() const { return Evacuations_; }
@@ -60,10 +57,16 @@
     return Evacuations_.Zones.count(Zone) > 0;
   }
 
+  const RouteHistory &history() const { return History_; }
+  RouteHistory &history() { return History_; }
+
   /// Takes the manifest if it is newer; returns whether it was taken.
-  bool offer(Manifest Newer) {
+  bool offer(Manifest Newer, Continuity Since, TimePoint Now) {
     if (Newer.Version <= Manifest_.Version)
       return false;
+    if (hasManifest() && Since == Continuity::Gap)
+      History_.onGap(Now);
+    History_.onChange(Manifest_.Routes, Newer.Routes, Now);
     Manifest_ = std::move(Newer);
     return true;
   }
@@ -80,6 +83,7 @@
 private:
   Manifest Manifest_;
   Evacuations Evacuations_;
+  RouteHistory History_;
 };
 
 } // namespace dragonflystall::opaque
--- a/src/opaque/newflowqueue.cpp
+++ b/src/opaque/newflowqueue.cpp
@@ -19,13 +19,13 @@
 }
 
 bool NewFlowQueue::add(const PacketHead &Head, std::string_view Bytes,
-                       const Route &Route, size_t MaxPerService,
-                       TimePoint Now) {
-  if (sizeOf(Route.Service) >= MaxPerService)
+                       const std::string &Service, uint32_t Priority,
+                       size_t MaxPerService, TimePoint Now) {
+  if (sizeOf(Service) >= MaxPerService)
     return false;
   Queued_.push_back({hashOf(Head.fromCaller()),
-                     Route.Service,
-                     Route.Priority,
+                     Service,
+                     Priority,
                      Now + AttemptTimeout,
                      {Head, std::string(Bytes)}});
   return true;
--- a/src/opaque/newflowqueue.h
+++ b/src/opaque/newflowqueue.h
@@ -18,10 +18,11 @@
   /// then starts a new attempt.
   static constexpr Duration AttemptTimeout = 1400ms;
 
-  /// Queues a SYN. Returns false if MaxPerService flows of the route's service
-  /// are queued already.
-  bool add(const PacketHead &Head, std::string_view Bytes, const Route &Route,
-           size_t MaxPerService, TimePoint Now);
+  /// Queues a SYN of a flow for the service. Returns false if MaxPerService
+  /// flows of the service are queued already.
+  bool add(const PacketHead &Head, std::string_view Bytes,
+           const std::string &Service, uint32_t Priority, size_t MaxPerService,
+           TimePoint Now);
   /// Replaces the SYN of a queued flow by a newer copy. Returns whether the
   /// flow is queued.
   bool refresh(uint64_t Hash, const PacketHead &Head, std::string_view Bytes);
--- a/src/opaque/search.cpp
+++ b/src/opaque/search.cpp
@@ -1,6 +1,8 @@
 // The searches in progress.
 #include "opaque/search.h"
 
+#include <algorithm>
+
 namespace dragonflystall::opaque {
 
 Search *Searches::find(uint64_t Hash) {
@@ -8,23 +10,42 @@
   return It == Searches_.end() ? nullptr : &It->second;
 }
 
-Search *Searches::start(const FlowId &Flow, const std::string &Service,
+void Searches::await(Search &Pending, const Agent &Candidate,
+                     const Directory &Agents, TimePoint Now) {
+  if (!Agents.isSuspect(Candidate, Now))
+    Pending.AwaitedAgents.push_back(Candidate.Id);
+  else if (!Agents.isGivenUp(Candidate, Now) &&
+           Candidate.LastReport.State != Intake::Ended)
+    Pending.Incomplete = true;
+}
+
+Search *Searches::start(const FlowId &Flow, std::vector<std::string> Services,
                         const Directory &Agents, TimePoint Now) {
   if (Searches_.size() >= MaxSearches)
     return nullptr;
   Search &Pending = Searches_[hashOf(Flow)];
   Pending.Flow = Flow;
-  Pending.Service = Service;
+  Pending.Services = std::move(Services);
   Pending.Started = Now;
-  for (const Agent *Candidate : Agents.agentsOf(Service))
-    if (!Agents.isSuspect(*Candidate, Now))
-      Pending.AwaitedAgents.push_back(Candidate->Id);
-    else if (!Agents.isGivenUp(*Candidate, Now) &&
-             Candidate->LastReport.State != Intake::Ended)
-      Pending.Incomplete = true;
+  for (const std::string &Service : Pending.Services)
+    for (const Agent *Candidate : Agents.agentsOf(Service))
+      await(Pending, *Candidate, Agents, Now);
   return &Pending;
 }
 
+void Searches::widen(Search &Pending, const Directory &Agents, TimePoint Now) {
+  Pending.Widened = true;
+  if (Agents.agents().size() > MaxWidened) {
+    Pending.Incomplete = true;
+    return;
+  }
+  const std::vector<std::string> &Queried = Pending.Services;
+  for (const auto &[Name, Candidate] : Agents.agents())
+    if (std::find(Queried.begin(), Queried.end(), Candidate->Entry.Service) ==
+        Queried.end())
+      await(Pending, *Candidate, Agents, Now);
+}
+
 void Searches::hold(Search &Pending, const PacketHead &Head,
                     std::string_view Bytes) {
   if (Pending.HeldPackets.size() >= MaxHeldPackets)
--- a/src/opaque/search.h
+++ b/src/opaque/search.h
@@ -1,6 +1,6 @@
 // Search for the holder of a flow that is not in the balancer's cache: the
-// balancer queries all agents of the service at once and holds the caller's
-// packets until the answers arrive, one round trip later.
+// balancer queries all agents of the route's services at once and holds the
+// caller's packets until the answers arrive, one round trip later.
 #ifndef DRAGONFLYSTALL_SRC_OPAQUE_SEARCH_H
 #define DRAGONFLYSTALL_SRC_OPAQUE_SEARCH_H
 
@@ -11,7 +11,8 @@
 /// The search for the holder of one flow.
 struct Search {
   FlowId Flow;
-  std::string Service;
+  /// The services that the route names, and those that it named before.
+  std::vector<std::string> Services;
   TimePoint Started{};
   /// Agents that have not answered.
   std::vector<AgentId> AwaitedAgents;
@@ -22,6 +23,8 @@
   std::vector<AgentId> OfferedAgents;
   /// Whether an agent that may hold the flow could not be queried.
   bool Incomplete = false;
+  /// Whether the agents of all other services were queried as well.
+  bool Widened = false;
   std::vector<HeldPacket> HeldPackets;
 
   bool isDenied() const {
@@ -44,8 +47,12 @@
 
   Search *find(uint64_t Hash);
   /// Returns nullptr if MaxSearches are in progress.
-  Search *start(const FlowId &Flow, const std::string &Service,
+  Search *start(const FlowId &Flow, std::vector<std::string> Services,
                 const Directory &Agents, TimePoint Now);
+  /// Adds the agents of all other services to those whose answers are awaited.
+  /// Beyond MaxWidened agents, it adds none, and the search stays incomplete.
+  static void widen(Search &Pending, const Directory &Agents, TimePoint Now);
+  static constexpr size_t MaxWidened = 512;
   /// Holds a packet; drops the oldest one if the limit is reached.
   static void hold(Search &Pending, const PacketHead &Head,
                    std::string_view Bytes);
@@ -57,6 +64,9 @@
   size_t size() const { return Searches_.size(); }
 
 private:
+  static void await(Search &Pending, const Agent &Candidate,
+                    const Directory &Agents, TimePoint Now);
+
   std::unordered_map<uint64_t, Search> Searches_;
 };
 
--- a/src/opaque/steering.cpp
+++ b/src/opaque/steering.cpp
@@ -1,6 +1,7 @@
 // Placement of new flows, search for holders, forwarding of packets.
 #include "opaque/steering.h"
 
+#include <algorithm>
 #include <bit>
 
 namespace dragonflystall::opaque {
@@ -53,6 +54,7 @@
   SteerAction Action = makeAction(SteerAction::Kind::Forward, Reason);
   Action.Target = &Target;
   Action.Forwarding.ForwardMode = Mode;
+  Action.Forwarding.Addressee = ForwardingState::addresseeOf(Target.Id);
   return Action;
 }
 
@@ -89,18 +91,34 @@
   return placeFlow(Head, Bytes, Forwarding, Now);
 }
 
+const WeightedService *Steering::serviceFor(const Route &Route,
+                                            uint64_t FlowHash,
+                                            TimePoint Now) const {
+  const auto Preferred = Route.preferenceOf(FlowHash);
+  if (Preferred.empty())
+    return nullptr;
+  const auto Able = std::find_if(
+      Preferred.begin(), Preferred.end(),
+      [&](const WeightedService *S) { return Agents_.canServe(S->Name, Now); });
+  return Able == Preferred.end() ? Preferred.front() : *Able;
+}
+
 SteerAction Steering::placeFlow(const PacketHead &Head, std::string_view Bytes,
                                 ForwardingState Forwarding, TimePoint Now) {
   const Route *Route = Config_.manifest().routeAt(Head.Destination);
   if (!Route)
     return refuse(SteerReason::NoRoute);
+  const uint64_t Hash = hashOf(Head.fromCaller());
+  const WeightedService *Service = serviceFor(*Route, Hash, Now);
+  if (!Service)
+    return refuse(SteerReason::NoUpstream);
   Agent *Best = nullptr;
   if (std::popcount(Forwarding.Tried) < MaxOffers)
-    Best = Agents_.choose(Route->Service, Forwarding.Tried, Now);
+    Best = Agents_.choose(Service->Name, Forwarding.Tried, Now);
   if (!Best)
-    return queueOrRefuse(Head, Bytes, *Route, Now);
+    return queueOrRefuse(Head, Bytes, Service->Name, *Route, Now);
   ++Best->SynsSinceLastPong;
-  Cache_.store(hashOf(Head.fromCaller()), Best->Id, seconds(Now));
+  Cache_.store(Hash, Best->Id, seconds(Now));
   SteerAction Action =
       forward(Forwarding.Tried ? SteerReason::PlacedAgain : SteerReason::Placed,
               *Best, ForwardingState::Mode::Place);
@@ -110,18 +128,19 @@
 }
 
 SteerAction Steering::queueOrRefuse(const PacketHead &Head,
-                                    std::string_view Bytes, const Route &Route,
-                                    TimePoint Now) {
+                                    std::string_view Bytes,
+                                    const std::string &Service,
+                                    const Route &Route, TimePoint Now) {
   // Agents may have returned two copies of the SYN; the first is queued.
   if (Queue_.refresh(hashOf(Head.fromCaller()), Head, Bytes))
     return drop(SteerReason::Queued);
-  const auto RoomAt = Agents_.nextCapacityAt(Route.Service, Now);
+  const auto RoomAt = Agents_.nextCapacityAt(Service, Now);
   const Duration MaxWait =
       std::chrono::duration_cast<Duration>(MaxWaitShare * Route.Timeout);
   if (!RoomAt || *RoomAt - Now > MaxWait)
     return refuse(SteerReason::NoUpstream);
-  const size_t MaxQueued = QueuedPerSlot * Agents_.slotsOf(Route.Service);
-  if (!Queue_.add(Head, Bytes, Route, MaxQueued, Now))
+  const size_t MaxQueued = QueuedPerSlot * Agents_.slotsOf(Service);
+  if (!Queue_.add(Head, Bytes, Service, Route.Priority, MaxQueued, Now))
     return refuse(SteerReason::QueueFull);
   return drop(SteerReason::Queued);
 }
@@ -148,10 +167,22 @@
     return drop(SteerReason::Stray);
   const Route *Route = Config_.manifest().routeAt(Head.Destination);
   if (Route && Forwarding.Refused)
-    Agents_.onRefusal(Route->Service, Sender, Now);
+    for (const WeightedService &S : Route->Services)
+      Agents_.onRefusal(S.Name, Sender, Now);
   return placeFlow(Head, Bytes, Forwarding, Now);
 }
 
+std::vector<std::string> Steering::servicesOf(Endpoint Address,
+                                              const Route &Route,
+                                              TimePoint Now) const {
+  std::vector<std::string> Services =
+      Config_.history().formerServices(Address, Now);
+  std::erase_if(Services, [&](const std::string &S) { return Route.names(S); });
+  for (const WeightedService &S : Route.Services)
+    Services.push_back(S.Name);
+  return Services;
+}
+
 SteerAction Steering::search(const PacketHead &Head, std::string_view Bytes,
                              TimePoint Now) {
   const FlowId Flow = Head.fromCaller();
@@ -161,7 +192,8 @@
     const Route *Route = Config_.manifest().routeAt(Flow.Route);
     if (!Route)
       return drop(SteerReason::NoRoute);
-    Pending = Searches_.start(Flow, Route->Service, Agents_, Now);
+    Pending = Searches_.start(Flow, servicesOf(Flow.Route, *Route, Now),
+                              Agents_, Now);
   }
   if (!Pending)
     return drop(SteerReason::Lost);
@@ -196,15 +228,32 @@
   });
   if (!Pending->isDenied())
     return drop(SteerReason::Asked);
-  SteerAction Action = makeNotFound(*Pending, Head, Now);
-  Searches_.erase(Hash);
-  return Action;
+  return concludeDenied(*Pending, Head, Now);
 }
 
 bool Steering::knowsAllAgents(TimePoint Now) const {
   return ListedAt_ && (HasPeerList_ || Now - *ListedAt_ > DiscoveryTime);
 }
 
+SteerAction Steering::concludeDenied(Search &Pending, const PacketHead &Head,
+                                     TimePoint Now) {
+  const bool MayBeElsewhere =
+      !Pending.Widened && !Config_.history().isComplete(Now);
+  if (MayBeElsewhere && !Pending.Incomplete) {
+    Searches::widen(Pending, Agents_, Now);
+    if (!Pending.isDenied()) {
+      SteerAction Action =
+          makeAction(SteerAction::Kind::Ask, SteerReason::AskedAll);
+      for (AgentId Id : Pending.AwaitedAgents)
+        Action.QueriedAgents.push_back(Agents_.find(Id));
+      return Action;
+    }
+  }
+  SteerAction Action = makeNotFound(Pending, Head, Now);
+  Searches_.erase(hashOf(Pending.Flow));
+  return Action;
+}
+
 SteerAction Steering::makeNotFound(const Search &Pending,
                                    const PacketHead &Head,
                                    TimePoint Now) const {
@@ -224,9 +273,9 @@
     offerPacket(Pending, Actions);
   if (!Pending.isDenied())
     return Actions;
-  const HeldPacket &Last = Pending.HeldPackets.back();
-  Actions.push_back({makeNotFound(Pending, Last.Head, Now), Last});
-  Searches_.erase(hashOf(Pending.Flow));
+  HeldPacket Last = Pending.HeldPackets.back();
+  SteerAction Action = concludeDenied(Pending, Last.Head, Now);
+  Actions.push_back({std::move(Action), std::move(Last)});
   return Actions;
 }
 
@@ -267,8 +316,14 @@
   }
   if (!Pending || std::erase(Pending->AwaitedAgents, Sender->Id) == 0)
     return Actions;
-  if (Message.Verdict == Holding::Unsure)
-    Pending->UnsureAgents.push_back(Sender->Id);
+  if (Message.Verdict == Holding::Unsure) {
+    // A packet may not be offered to a service that, as far as is known, the
+    // route has never named.
+    if (Pending->Widened)
+      Pending->Incomplete = true;
+    else
+      Pending->UnsureAgents.push_back(Sender->Id);
+  }
   return conclude(*Pending, Now);
 }
 
--- a/src/opaque/steering.h
+++ b/src/opaque/steering.h
@@ -18,20 +18,21 @@
   Held,        ///< Sent to the holder in the cache.
   Queued,      ///< New flow, queued until an upstream has room.
   Asked,       ///< Held until the agents answer who holds the flow.
+  AskedAll,    ///< Held until the agents of all other services answer, too.
   Found,       ///< Sent to the holder that the search has found.
   Offered,     ///< Sent to an agent that can't tell if it is the holder.
   NoManifest,  ///< The balancer has no manifest yet.
   NoRoute,     ///< The destination is not in the manifest.
   NoUpstream,  ///< No agent is left that could take the flow.
   QueueFull,   ///< Too many new flows are queued for the service.
-  NotFound,    ///< All agents of the service deny the flow.
+  NotFound,    ///< All agents that may hold the flow deny it.
   Lost,        ///< No holder found, but not all agents have answered.
   Stray,       ///< Not a packet that a caller may send.
 };
-constexpr std::array<std::string_view, 14> SteerReasonNames = {
-    "placed",     "placed-again", "held",        "queued",   "asked",
-    "found",      "offered",      "no-manifest", "no-route", "no-upstream",
-    "queue-full", "not-found",    "lost",        "stray"};
+constexpr std::array<std::string_view, 15> SteerReasonNames = {
+    "placed",      "placed-again", "held",      "queued",      "asked",
+    "asked-all",   "found",        "offered",   "no-manifest", "no-route",
+    "no-upstream", "queue-full",   "not-found", "lost",        "stray"};
 constexpr std::string_view name(SteerReason R) {
   return SteerReasonNames[static_cast<size_t>(R)];
 }
@@ -101,7 +102,16 @@
                             const ForwardingState &Forwarding, Endpoint Sender,
                             TimePoint Now);
   SteerAction queueOrRefuse(const PacketHead &Head, std::string_view Bytes,
-                            const Route &Route, TimePoint Now);
+                            const std::string &Service, const Route &Route,
+                            TimePoint Now);
+  /// The service for a new flow: the one that the flow prefers by the weights
+  /// of its route, or the next one while that one has no upstream that takes
+  /// flows. nullptr if no service of the route takes new flows.
+  const WeightedService *serviceFor(const Route &Route, uint64_t FlowHash,
+                                    TimePoint Now) const;
+  /// The services whose upstreams may hold open flows of the route.
+  std::vector<std::string> servicesOf(Endpoint Address, const Route &Route,
+                                      TimePoint Now) const;
   /// Places queued flows of a service, as many as its open slots allow.
   void placeQueued(const std::string &Service,
                    std::vector<DelayedAction> &Actions, TimePoint Now);
@@ -114,6 +124,11 @@
   /// reaches an upstream other than the holder costs that upstream work.
   void offerPacket(Search &Pending, std::vector<DelayedAction> &Actions);
   bool knowsAllAgents(TimePoint Now) const;
+  /// Decides on a search that all queried agents have denied: queries the
+  /// agents of all other services if the route may have named one of them
+  /// before, else ends the search.
+  SteerAction concludeDenied(Search &Pending, const PacketHead &Head,
+                             TimePoint Now);
   /// The decision on the last packet of a search that found no holder.
   SteerAction makeNotFound(const Search &Pending, const PacketHead &Head,
                            TimePoint Now) const;
