Searches for dead flows end although some agent is always in doubt

With 109 agents and hosts that leave one after the other, one was always in doubt.

The soak's upstream listens on TCP while it runs, as the users' upstreams do.

--- a/soak/upstream.cpp
+++ b/soak/upstream.cpp
@@ -46,10 +46,22 @@
   Host_.RecentSyns.clear();
   Alive_ = true;
   NextHeartbeat_ = Now;
+  listenForHealthChecks();
+}
+
+void Upstream::listenForHealthChecks() {
+  HealthServer_ =
+      std::make_unique<HttpServer>(Shared_.Base.get(), [](const HttpRequest &) {
+        return emptyJsonResponse(HttpStatus::Ok);
+      });
+  if (!HealthServer_->listen(Addresses_.Packets))
+    throw std::runtime_error(toString(Addresses_.Packets) +
+                             ": cannot listen for health checks");
 }
 
 void Upstream::crash() {
   Alive_ = false;
+  HealthServer_.reset();
   Checker_.onCrash(Host_);
   Flows_.clear();
   ClosedFlows_.clear();
--- a/soak/upstream.h
+++ b/soak/upstream.h
@@ -71,6 +71,7 @@
   opaque::PacketHead headTo(const opaque::FlowId &Id, const Flow &State) const;
   void send(std::string_view Bytes);
   void sendHeartbeat(TimePoint Now);
+  void listenForHealthChecks();
 
   node::Services &Shared_;
   RuleChecker &Checker_;
@@ -79,6 +80,8 @@
   std::unique_ptr<UdpSocket> Socket_;
   std::unique_ptr<node::ReadWatch> Watch_;
   HttpChannel HeartbeatChannel_;
+  /// Listens on TCP for as long as the upstream runs.
+  std::unique_ptr<HttpServer> HealthServer_;
   bool Alive_ = false;
   opaque::Heartbeat Heartbeat_;
   TimePoint ColdUntil_{};
--- a/src/node/agent.cpp
+++ b/src/node/agent.cpp
@@ -48,6 +48,8 @@
             MaxFlows, Services_.now()),
       Registration_(Services_.Rng()),
       StoreChannel_(Services_.Base.get(), Initial.Store),
+      UpstreamProbe_(Services_.Base.get(), Initial.Upstream,
+                     [this] { onUpstreamAbsent(); }),
       ResponseTimes_(Services_.Counts.histogram(
           {"dragonflystall_upstream_response_seconds",
            "Time from a request, or the SYN before it, to the first answer.",
@@ -112,7 +114,7 @@
   Services_.log(LogClass::Notable, "packet-refused")
       .text("flow", toString(Head.fromCaller()))
       .text("reason", name(Action.Reason))
-      .text("intake", name(intake(Now)))
+      .text("intake", name(Upstream_.intake(Now)))
       .text("balancer", toString(From))
       .text("upstream", Upstream_.id())
       .number("syn", Head.Syn)
@@ -179,6 +181,14 @@
   return emptyJsonResponse(HttpStatus::Ok);
 }
 
+void Agent::onUpstreamAbsent() {
+  Services_.log(LogClass::State, "upstream-absent")
+      .text("address", toString(Settings_.Upstream));
+  Upstream_.onPortClosed();
+  reportIntake(Services_.now());
+  flush();
+}
+
 HttpResponse Agent::onLeave(const std::string &Id) {
   const TimePoint Now = Services_.now();
   const bool Current = Upstream_.onLeave(Id);
@@ -198,17 +208,13 @@
   reportIntake(Services_.now());
 }
 
-opaque::Intake Agent::intake(TimePoint Now) const {
-  return stopping() ? opaque::Intake::Stopping : Upstream_.intake(Now);
-}
-
 opaque::Pong Agent::pong(uint64_t Number, TimePoint Now) {
   opaque::Pong Message;
   Message.Name = Settings_.Name;
   Message.Service = Gate_.service();
   Message.Number = Number;
   Message.Versions = configVersionsOf(config());
-  Message.State = intake(Now);
+  Message.State = Upstream_.intake(Now);
   Message.ColdFor = Upstream_.coldFor(Now);
   Message.Slots = Upstream_.slots();
   Message.OpenFlows = Gate_.openFlows();
@@ -219,7 +225,7 @@
 }
 
 void Agent::reportIntake(TimePoint Now) {
-  const opaque::Intake State = intake(Now);
+  const opaque::Intake State = Upstream_.intake(Now);
   if (State == ReportedIntake_)
     return;
   Services_.log(LogClass::State, "intake")
@@ -367,11 +373,11 @@
 }
 
 void Agent::onStop(TimePoint Now) {
+  Upstream_.onStop();
   reportIntake(Now);
-  const bool UpstreamGone = Upstream_.hasLeft() || Upstream_.hasEnded();
-  if (UpstreamGone)
+  if (Upstream_.isGone())
     removeEntry();
-  ExitAt_ = Now + (UpstreamGone ? LeaveTimeout : StopDelay);
+  ExitAt_ = Now + (Upstream_.isGone() ? LeaveTimeout : StopDelay);
 }
 
 } // namespace dragonflystall::node
--- a/src/node/agent.h
+++ b/src/node/agent.h
@@ -2,6 +2,7 @@
 #ifndef DRAGONFLYSTALL_SRC_NODE_AGENT_H
 #define DRAGONFLYSTALL_SRC_NODE_AGENT_H
 
+#include "node/portprobe.h"
 #include "node/process.h"
 #include "opaque/gate.h"
 #include "opaque/registration.h"
@@ -36,8 +37,9 @@
                   TimePoint Now);
   HttpResponse onHeartbeat(const opaque::Heartbeat &Beat);
   HttpResponse onLeave(const std::string &Id);
+  /// No upstream ran when this agent started.
+  void onUpstreamAbsent();
   opaque::Pong pong(uint64_t Number, TimePoint Now);
-  opaque::Intake intake(TimePoint Now) const;
   /// Logs a change of the intake and sends it to all pinging balancers.
   void reportIntake(TimePoint Now);
   /// Updates the gauge of failing requests; logs when the upstream begins to
@@ -57,6 +59,7 @@
   opaque::Gate Gate_;
   opaque::Registration Registration_;
   HttpChannel StoreChannel_;
+  PortProbe UpstreamProbe_;
   UdpSocket *BalancerSocket_ = nullptr;
   UdpSocket *UpstreamSocket_ = nullptr;
   std::vector<PingingBalancer> Balancers_;
--- a/src/opaque/gate.cpp
+++ b/src/opaque/gate.cpp
@@ -216,20 +216,23 @@
 }
 
 std::optional<Holding> Gate::holding(const FlowId &Flow, TimePoint Now) const {
-  if (Upstream_.hasLeft() || Upstream_.hasEnded())
+  if (Upstream_.isGone())
     return Holding::Denies; // Also if no upstream ever reported.
+  const auto It = Flows_.find(hashOf(Flow));
+  if (It == Flows_.end() && (isTableComplete(Now) || !mayHold(Flow, Now)))
+    return Holding::Denies; // Whether or not the upstream still lives.
   if (!Upstream_.isReachable(Now))
     return std::nullopt;
-  const auto It = Flows_.find(hashOf(Flow));
-  if (It != Flows_.end())
-    return It->second.Confirmed ? Holding::Holds : Holding::Unsure;
-  if (!mayHold(Flow, Now))
-    return Holding::Denies;
+  const bool IsConfirmed = It != Flows_.end() && It->second.Confirmed;
+  return IsConfirmed ? Holding::Holds : Holding::Unsure;
+}
+
+bool Gate::isTableComplete(TimePoint Now) const {
+  if (!Upstream_.isKnown())
+    return false;
   // A flow that has been idle for longer than the timeout may be dropped.
-  const bool IsComplete =
-      !CompleteSince_ ||
-      Now - *CompleteSince_ > Config_.manifest().FlowIdleTimeout;
-  return IsComplete ? Holding::Denies : Holding::Unsure;
+  return !CompleteSince_ ||
+         Now - *CompleteSince_ > Config_.manifest().FlowIdleTimeout;
 }
 
 void Gate::averageBusy(TimePoint Now) {
--- a/src/opaque/gate.h
+++ b/src/opaque/gate.h
@@ -67,7 +67,7 @@
   /// Decides on a packet that the upstream sent.
   GateAction fromUpstream(const PacketHead &Head, TimePoint Now);
   /// Whether the upstream holds a flow, as far as the agent can tell;
-  /// std::nullopt if the upstream has sent nothing recently.
+  /// std::nullopt if it may, and the upstream has sent nothing recently.
   std::optional<Holding> holding(const FlowId &Flow, TimePoint Now) const;
   /// Call regularly: removes idle flows and counts overdue requests.
   void tick(TimePoint Now);
@@ -113,6 +113,8 @@
   bool mayHold(const FlowId &Flow, TimePoint Now) const;
   /// Whether the upstream's slots allow one more new flow.
   bool hasRoomFor(const ForwardingState &Forwarding) const;
+  /// Whether Flows_ contains all flows that the upstream holds.
+  bool isTableComplete(TimePoint Now) const;
   void expireOpenings(TimePoint Now);
   /// Records that the caller has sent a request.
   void beginRequest(Flow &Entry, uint64_t Hash, TimePoint Now);
--- a/src/opaque/opaque_test.cpp
+++ b/src/opaque/opaque_test.cpp
@@ -179,6 +179,95 @@
   EXPECT_TRUE(Sim.Callers[Flow].Reset);
 }
 
+// Guards against a fault of hangar-lund-large trouble-1: while upstreams left
+// one after the other, some agent was always in doubt, and no dead flow was
+// reset for ten seconds.
+TEST_F(Opaque, AnUpstreamThatHasLeftDoesNotDelayResets) {
+  const FlowId Flow = Sim.open(*First, DeskRoute);
+  FakeHost &Other =
+      Sim.Hosts[0].LocalUpstream.Open.count(Flow) ? Sim.Hosts[2] : Sim.Hosts[0];
+  Other.LocalUpstream.Draining = true;
+  Sim.beat(Other);
+  Sim.run(1s);
+  EXPECT_TRUE(Other.UpstreamState->onLeave(Other.LocalUpstream.Id));
+  Other.LocalUpstream.Alive = false;
+  Sim.run(1s);
+  Other.Running = false;
+  Sim.restartUpstream(holderOf(Flow));
+  Sim.run(2s);
+  Sim.sendData(*First, Flow, 11);
+  Sim.run(50ms);
+  EXPECT_TRUE(Sim.Callers[Flow].Reset);
+}
+
+// Guards against the same fault at a host that is taken away after a power
+// failure in which its upstream ended: the agent has heard from none.
+TEST_F(Opaque, AnAgentThatStopsWithoutAnUpstreamDoesNotDelayResets) {
+  const FlowId Flow = Sim.open(*First, DeskRoute);
+  FakeHost &Other =
+      Sim.Hosts[0].LocalUpstream.Open.count(Flow) ? Sim.Hosts[2] : Sim.Hosts[0];
+  Other.LocalUpstream.Alive = false;
+  Sim.startAgent(Other);
+  Sim.run(1400ms);
+  EXPECT_EQ(Other.UpstreamState->intake(Sim.Now), Intake::Silent);
+  Other.UpstreamState->onStop();
+  Sim.run(100ms);
+  EXPECT_EQ(Other.UpstreamState->intake(Sim.Now), Intake::Ended);
+  Other.Running = false;
+  Sim.restartUpstream(holderOf(Flow));
+  Sim.sendData(*First, Flow, 11);
+  Sim.run(200ms);
+  EXPECT_TRUE(Sim.Callers[Flow].Reset);
+}
+
+// Guards against the same fault right after the power failure: an agent whose
+// upstream is not up yet did not answer searches for two seconds.
+TEST_F(Opaque, AnAgentWhoseUpstreamIsNotRunningDeniesFlowsAtOnce) {
+  const FlowId Flow = Sim.open(*First, DeskRoute);
+  for (FakeHost &Host : Sim.Hosts) {
+    Host.LocalUpstream.Alive = false;
+    Sim.startAgent(Host);
+    Host.UpstreamState->onPortClosed();
+  }
+  Sim.HasPeerList = true;
+  Sim.startBalancer(*First);
+  Sim.sendData(*First, Flow, 11);
+  Sim.run(50ms);
+  EXPECT_TRUE(Sim.Callers[Flow].Reset);
+  FakeHost &Host = Sim.Hosts.front();
+  Host.LocalUpstream.Alive = true;
+  Sim.restartUpstream(Host);
+  EXPECT_EQ(Host.UpstreamState->intake(Sim.Now), Intake::Cold);
+}
+
+// An agent that restarts beside a running upstream is only stopping.
+TEST_F(Opaque, AnAgentThatStopsBesideARunningUpstreamIsWaitedFor) {
+  const FlowId Flow = Sim.open(*First, DeskRoute);
+  FakeHost &Holder = holderOf(Flow);
+  Holder.UpstreamState->onStop();
+  EXPECT_EQ(Holder.UpstreamState->intake(Sim.Now), Intake::Stopping);
+  Holder.Running = false;
+  Sim.run(2s);
+  Sim.sendData(*Second, Flow, 11);
+  Sim.run(700ms);
+  EXPECT_FALSE(Sim.Callers[Flow].Reset);
+}
+
+// Guards against the same fault with an upstream that is silent: its agent
+// knows all of its flows and can deny the others.
+TEST_F(Opaque, ASilentUpstreamDoesNotDelayResetsOfOtherFlows) {
+  const FlowId Flow = Sim.open(*First, DeskRoute);
+  FakeHost &Other =
+      Sim.Hosts[0].LocalUpstream.Open.count(Flow) ? Sim.Hosts[2] : Sim.Hosts[0];
+  Other.LocalUpstream.Alive = false;
+  Sim.restartUpstream(holderOf(Flow));
+  Sim.run(2500ms);
+  EXPECT_EQ(Other.UpstreamState->intake(Sim.Now), Intake::Silent);
+  Sim.sendData(*First, Flow, 11);
+  Sim.run(50ms);
+  EXPECT_TRUE(Sim.Callers[Flow].Reset);
+}
+
 TEST_F(Opaque, ASearchEndsWithoutAnAgentThatHadNoUpstream) {
   const FlowId Flow = Sim.open(*First, DeskRoute);
   FakeHost &Other =
--- a/src/opaque/search.cpp
+++ b/src/opaque/search.cpp
@@ -56,11 +56,18 @@
 std::vector<Search *> Searches::overdue(TimePoint Now) {
   std::vector<Search *> Result;
   for (auto &[Hash, Pending] : Searches_)
-    if (!Pending.UnsureAgents.empty() && Now - Pending.Started > OfferDelay)
+    if (Now - Pending.Started > OfferDelay)
       Result.push_back(&Pending);
   return Result;
 }
 
+void Searches::waiveEnded(Search &Pending, Directory &Agents) {
+  std::erase_if(Pending.AwaitedAgents, [&](AgentId Id) {
+    const Agent *Member = Agents.find(Id);
+    return Member && Member->LastReport.State == Intake::Ended;
+  });
+}
+
 std::vector<Search> Searches::expire(TimePoint Now) {
   std::vector<Search> Expired;
   for (auto It = Searches_.begin(); It != Searches_.end();) {
--- a/src/opaque/search.h
+++ b/src/opaque/search.h
@@ -59,8 +59,11 @@
   void erase(uint64_t Hash) { Searches_.erase(Hash); }
   /// Removes searches older than SearchTimeout and returns them.
   std::vector<Search> expire(TimePoint Now);
-  /// Searches older than OfferDelay with agents that can't tell.
+  /// Searches older than OfferDelay.
   std::vector<Search *> overdue(TimePoint Now);
+  /// Stops waiting for agents that had no upstream at their last report. They
+  /// are asked nevertheless, since an upstream may have started.
+  static void waiveEnded(Search &Pending, Directory &Agents);
   size_t size() const { return Searches_.size(); }
 
 private:
--- a/src/opaque/steering.cpp
+++ b/src/opaque/steering.cpp
@@ -271,12 +271,18 @@
   std::vector<DelayedAction> Actions;
   if (Pending.AwaitedAgents.empty())
     offerPacket(Pending, Actions);
+  concludeIfDenied(Pending, Actions, Now);
+  return Actions;
+}
+
+void Steering::concludeIfDenied(Search &Pending,
+                                std::vector<DelayedAction> &Actions,
+                                TimePoint Now) {
   if (!Pending.isDenied())
-    return Actions;
+    return;
   HeldPacket Last = Pending.HeldPackets.back();
   SteerAction Action = concludeDenied(Pending, Last.Head, Now);
   Actions.push_back({std::move(Action), std::move(Last)});
-  return Actions;
 }
 
 void Steering::offerPacket(Search &Pending,
@@ -338,8 +344,11 @@
                             .count());
   Cache_.sweep(seconds(Now));
   std::vector<DelayedAction> Actions;
-  for (Search *Pending : Searches_.overdue(Now))
+  for (Search *Pending : Searches_.overdue(Now)) {
+    Searches::waiveEnded(*Pending, Agents_);
     offerPacket(*Pending, Actions);
+    concludeIfDenied(*Pending, Actions, Now);
+  }
   for (Search &Pending : Searches_.expire(Now)) {
     SteerAction Action =
         makeNotFound(Pending, Pending.HeldPackets.back().Head, Now);
--- a/src/opaque/steering.h
+++ b/src/opaque/steering.h
@@ -120,6 +120,10 @@
   /// Call after an answer: once all agents have answered, offers a packet to
   /// those that can't tell, and ends the search if all deny the flow.
   std::vector<DelayedAction> conclude(Search &Pending, TimePoint Now);
+  /// If all queried agents have denied the flow, adds the decision on its last
+  /// packet.
+  void concludeIfDenied(Search &Pending, std::vector<DelayedAction> &Actions,
+                        TimePoint Now);
   /// Offers the last packet to the agents that can't tell. Each packet that
   /// reaches an upstream other than the holder costs that upstream work.
   void offerPacket(Search &Pending, std::vector<DelayedAction> &Actions);
--- a/src/opaque/upstream.cpp
+++ b/src/opaque/upstream.cpp
@@ -40,6 +40,7 @@
     return HeartbeatVerdict::Late;
   Beat_ = Beat;
   HasLeft_ = false;
+  IsAbsent_ = false;
   LastAlive_ = Now;
   SilentTicks_ = 0;
   ColdUnknown_ = false;
@@ -67,8 +68,10 @@
 
 bool Upstream::hasEnded() const {
   const Duration Silence = SilentTicks_ * TickInterval;
-  return isKnown() ? Silence >= EndedAfter
-                   : Silence >= AbsentHeartbeats * Settings_.HeartbeatInterval;
+  if (isKnown())
+    return Silence >= EndedAfter;
+  return Silence >= (IsStopping_ ? AbsentHeartbeatsAtStop : AbsentHeartbeats) *
+                        Settings_.HeartbeatInterval;
 }
 
 void Upstream::tick(TimePoint Now) {
@@ -118,14 +121,16 @@
 }
 
 Intake Upstream::intake(TimePoint Now) const {
+  if (isGone())
+    return Intake::Ended;
+  if (IsStopping_)
+    return Intake::Stopping;
   if (!Config_.hasManifest())
     return Intake::Unready;
   if (Config_.isEvacuated(Settings_.Zone))
     return Intake::Evacuated;
   if (isKnown() && Beat_.Draining)
     return Intake::Draining;
-  if (HasLeft_ || hasEnded())
-    return Intake::Ended;
   if (isSilent(Now) || isUnresponsive(Now))
     return Intake::Silent;
   return isCold(Now) ? Intake::Cold : Intake::Open;
--- a/src/opaque/upstream.h
+++ b/src/opaque/upstream.h
@@ -97,6 +97,10 @@
   void tick(TimePoint Now);
   /// Call when a SYN was passed to the upstream.
   void onSynPassed(TimePoint Now);
+  /// Call when the upstream's TCP port refuses connections: no upstream runs.
+  void onPortClosed() { IsAbsent_ = !isKnown(); }
+  /// Call when this agent begins to stop.
+  void onStop() { IsStopping_ = true; }
   /// Call when the set of evacuated zones has changed.
   void onEvacuationsChanged();
 
@@ -115,7 +119,8 @@
   const std::string &id() const { return Beat_.Id; }
   uint32_t slots() const { return Beat_.Slots; }
   bool isKnown() const { return !Beat_.Id.empty(); }
-  bool hasLeft() const { return HasLeft_; }
+  /// Whether there is certainly no upstream with open flows at present.
+  bool isGone() const { return HasLeft_ || IsAbsent_ || hasEnded(); }
   /// Whether the upstream and its flows have ended, or it never existed: there
   /// was no heartbeat and no packet for EndedAfter, or AbsentHeartbeats, while
   /// this agent ran without interruption.
@@ -125,6 +130,9 @@
   /// In heartbeat intervals, for an upstream that has never reported to this
   /// agent.
   static constexpr double AbsentHeartbeats = 2.5;
+  /// The same for an agent that is being stopped, as happens when its host is
+  /// taken away after the upstream.
+  static constexpr double AbsentHeartbeatsAtStop = 1.5;
   /// Whether the address certainly still belongs to the upstream: it has sent a
   /// heartbeat or a packet within the reuse time.
   bool isReachable(TimePoint Now) const { return !isSilent(Now); }
@@ -138,6 +146,8 @@
   const Configuration &Config_;
   Heartbeat Beat_;
   bool HasLeft_ = false;
+  bool IsAbsent_ = false; ///< Not running when this agent started.
+  bool IsStopping_ = false;
   TimePoint LastAlive_{};
   TimePoint LastTick_{};
   uint32_t SilentTicks_ = 0; ///< Punctual ticks since LastAlive_.
