Three balancers read the store linearizably, the others serializably

Now the agents rank the balancers that ping them and the first three watch linearizably; watches end within the history; watches of entries pause for 2 s; no entry is read at the first start. Calls are counted by kind, call and consistency (dragonflystall_store_calls_total). Reports with a NaN, an infinite or a negative load are refused.

--- a/src/node/agent.cpp
+++ b/src/node/agent.cpp
@@ -14,8 +14,6 @@
 using opaque::GateReason;
 
 constexpr size_t MaxFlows = 4000;
-/// A balancer that has sent no ping for this time is removed from the list.
-constexpr Duration BalancerTimeout = 3s;
 /// How often an agent that no balancer pings sends a Hello to the seeds.
 constexpr Duration HelloInterval = 500ms;
 /// How long a stopping agent tries to remove its entry from the store.
@@ -36,9 +34,11 @@
     // the cost. The pings of balancers reveal changes that such a watch
     // delivers late.
     : Process(Initial, std::move(ReadSettings), "agent",
-              {Initial.Store, Initial.Seeds,
-               platform::Consistency::Serializable,
-               /*AlwaysFetchFromSeeds=*/false, Initial.MaxFlowAge,
+              {{Initial.Store, Initial.StoreHistory,
+                platform::Consistency::Serializable},
+               Initial.Seeds,
+               /*AlwaysFetchFromSeeds=*/false,
+               Initial.MaxFlowAge,
                Initial.FirstStart}),
       Upstream_({Initial.Upstream, Initial.Zone, Initial.AddressReuseAfter,
                  Initial.HeartbeatInterval, Initial.ColdFactor,
@@ -50,6 +50,7 @@
       StoreChannel_(Services_.Base.get(), Initial.Store),
       UpstreamProbe_(Services_.Base.get(), Initial.Upstream,
                      [this] { onUpstreamAbsent(); }),
+      StoreCalls_(Services_),
       ResponseTimes_(Services_.Counts.histogram(
           {"dragonflystall_upstream_response_seconds",
            "Time from a request, or the SYN before it, to the first answer.",
@@ -208,7 +209,7 @@
   reportIntake(Services_.now());
 }
 
-opaque::Pong Agent::pong(uint64_t Number, TimePoint Now) {
+opaque::Pong Agent::pong(Endpoint Balancer, uint64_t Number, TimePoint Now) {
   opaque::Pong Message;
   Message.Name = Settings_.Name;
   Message.Service = Gate_.service();
@@ -221,6 +222,7 @@
   Message.Busy = Gate_.busy(Now);
   Message.FailureShare = Gate_.failureShare();
   Message.Http = Settings_.Peers;
+  Message.Rank = Balancers_.rankOf(Balancer);
   return Message;
 }
 
@@ -235,8 +237,8 @@
       .number("cold_limit", Upstream_.coldLimit())
       .number("manifest", config().manifest().Version);
   ReportedIntake_ = State;
-  for (const PingingBalancer &Balancer : Balancers_)
-    sendControl(Balancer.Control, pong(0, Now));
+  for (Endpoint Balancer : Balancers_.controls())
+    sendControl(Balancer, pong(Balancer, 0, Now));
 }
 
 void Agent::onControl(const opaque::ControlMessage &Message, Endpoint From,
@@ -250,18 +252,11 @@
   const auto *Ping = std::get_if<opaque::Ping>(&Message);
   if (!Ping || Ping->Name != Settings_.Name)
     return;
-  const auto Known = std::find_if(Balancers_.begin(), Balancers_.end(),
-                                  [From](const PingingBalancer &Balancer) {
-                                    return Balancer.Control == From;
-                                  });
-  if (Known != Balancers_.end())
-    Known->LastPing = Now;
-  else
-    Balancers_.push_back({From, Now});
+  Balancers_.onPing(From, Now);
   if (Ping->MissingAsOf != 0)
     Registration_.onMissing(Ping->MissingAsOf);
   Config_.onPeerVersions(Ping->Versions, Ping->Http, Now);
-  sendControl(From, pong(Ping->Number, Now));
+  sendControl(From, pong(From, Ping->Number, Now));
 }
 
 void Agent::updateFailureState() {
@@ -284,7 +279,7 @@
   EntryRemoved_ = true;
   Registration_.setWanted(std::nullopt);
   // An earlier run of this agent may have left an entry in the store.
-  if (!Registration_.isStored())
+  if (!Registration_.isStored() && !Settings_.FirstStart)
     Registration_.markUnknown();
 }
 
@@ -310,6 +305,7 @@
                                    Registration_.revision());
     break;
   }
+  StoreCalls_.count(platform::ObjectKind::Agent, name(*Due));
   StoreChannel_.request(Request, StoreTimeout,
                         [this, Sent = *Due](const auto &Result) {
                           onRegistrationAnswer(Sent, Result);
@@ -342,7 +338,7 @@
 }
 
 void Agent::sendHello(TimePoint Now) {
-  if (Registration_.isStored() && !Balancers_.empty())
+  if (Registration_.isStored() && !Balancers_.controls().empty())
     return;
   if (Now < NextHello_ || !Registration_.wanted())
     return;
@@ -356,9 +352,7 @@
   Upstream_.tick(Now);
   Gate_.tick(Now);
   reportIntake(Now);
-  std::erase_if(Balancers_, [Now](const PingingBalancer &Balancer) {
-    return Now - Balancer.LastPing > BalancerTimeout;
-  });
+  Balancers_.expire(Now);
   OpenFlows_.set(static_cast<int64_t>(Gate_.openFlows()));
   BusyThousandths_.set(static_cast<int64_t>(Gate_.busy(Now) * 1000));
   updateFailureState();
--- a/src/node/agent.h
+++ b/src/node/agent.h
@@ -6,6 +6,7 @@
 #include "node/process.h"
 #include "opaque/gate.h"
 #include "opaque/registration.h"
+#include "opaque/storereaders.h"
 
 namespace dragonflystall::node {
 
@@ -24,12 +25,6 @@
   HttpResponse onRequest(const HttpRequest &Request) override;
 
 private:
-  /// A balancer that has sent a ping recently.
-  struct PingingBalancer {
-    Endpoint Control; ///< Where it receives control messages.
-    TimePoint LastPing{};
-  };
-
   void onPacket(Endpoint From, std::string_view Bytes);
   void onUpstreamPacket(std::string_view Bytes);
   void logRefusal(const opaque::PacketHead &Head,
@@ -39,7 +34,8 @@
   HttpResponse onLeave(const std::string &Id);
   /// No upstream ran when this agent started.
   void onUpstreamAbsent();
-  opaque::Pong pong(uint64_t Number, TimePoint Now);
+  /// The report to the balancer with this address for control messages.
+  opaque::Pong pong(Endpoint Balancer, uint64_t Number, TimePoint Now);
   /// Logs a change of the intake and sends it to all pinging balancers.
   void reportIntake(TimePoint Now);
   /// Updates the gauge of failing requests; logs when the upstream begins to
@@ -62,7 +58,8 @@
   PortProbe UpstreamProbe_;
   UdpSocket *BalancerSocket_ = nullptr;
   UdpSocket *UpstreamSocket_ = nullptr;
-  std::vector<PingingBalancer> Balancers_;
+  StoreCallCounter StoreCalls_;
+  opaque::PingingBalancers Balancers_;
   opaque::Intake ReportedIntake_ = opaque::Intake::Unready;
   TimePoint NextHello_{};
   bool EntryRemoved_ = false;
--- a/src/node/balancer.cpp
+++ b/src/node/balancer.cpp
@@ -21,6 +21,10 @@
 /// the process would be killed.
 constexpr Duration GraceMargin = 500ms;
 constexpr Duration RemoveTimeout = 2s;
+/// Pauses between watches of the agents' entries. The first balancers learn of
+/// a new agent soon; it is cold then, and the others need it later.
+constexpr Duration PrimaryWatchPause = 500ms;
+constexpr Duration WatchPause = 2s;
 /// Flows in the cache of holders, 40 bytes each.
 constexpr size_t CachedFlows = 20000;
 
@@ -28,39 +32,44 @@
 
 Balancer::Balancer(const Settings &Initial, SettingsReader ReadSettings)
     : Process(Initial, std::move(ReadSettings), "balancer",
-              {Initial.Store, Initial.Seeds,
-               platform::Consistency::Linearizable,
-               /*AlwaysFetchFromSeeds=*/true, Initial.MaxFlowAge,
+              {{Initial.Store, Initial.StoreHistory,
+                platform::Consistency::Serializable},
+               Initial.Seeds,
+               /*AlwaysFetchFromSeeds=*/true,
+               Initial.MaxFlowAge,
                Initial.FirstStart}),
       Agents_(Initial.Zone, Services_.Rng()),
       Steering_(config(), Agents_, CachedFlows, Services_.now()),
-      AgentWatcher_(
-          Services_, Health_, Initial.Store, platform::ObjectKind::Agent,
-          platform::Consistency::Linearizable,
-          {[this](const platform::Page &P, bool First) {
-             if (First)
-               ListedAgents_.clear();
-             for (const platform::Object &O : P.Objects)
-               if (auto Entry = platform::decodeAgent(O))
-                 ListedAgents_.emplace_back(std::move(*Entry), O.Revision);
-           },
-           [this] {
-             Agents_.listAll(ListedAgents_, Services_.now());
-             Services_.log(LogClass::State, "agents-listed")
-                 .number("count", ListedAgents_.size())
-                 .number("revision", AgentWatcher_.revision());
-             ListedAgents_.clear();
-             AgentsKnown_ = true;
-             Steering_.onAgentsListed(Services_.now());
-             NextPing_ = {};
-           },
-           [this](const platform::Changes &C) {
-             for (const platform::Change &Event : C.Events)
-               if (Event.Removed)
-                 Agents_.unlist(Event.Item.Name);
-               else
-                 onAgentObject(Event.Item);
-           }}),
+      Reader_(Services_.now()), StoreCalls_(Services_),
+      AgentWatcher_(Services_, Health_,
+                    {Initial.Store, Initial.StoreHistory,
+                     platform::Consistency::Serializable},
+                    platform::ObjectKind::Agent,
+                    {[this](const platform::Page &P, bool First) {
+                       if (First)
+                         ListedAgents_.clear();
+                       for (const platform::Object &O : P.Objects)
+                         if (auto Entry = platform::decodeAgent(O))
+                           ListedAgents_.emplace_back(std::move(*Entry),
+                                                      O.Revision);
+                     },
+                     [this] {
+                       Agents_.listAll(ListedAgents_, Services_.now());
+                       Services_.log(LogClass::State, "agents-listed")
+                           .number("count", ListedAgents_.size())
+                           .number("revision", AgentWatcher_.revision());
+                       ListedAgents_.clear();
+                       AgentsKnown_ = true;
+                       Steering_.onAgentsListed(Services_.now());
+                       NextPing_ = {};
+                     },
+                     [this](const platform::Changes &C) {
+                       for (const platform::Change &Event : C.Events)
+                         if (Event.Removed)
+                           Agents_.unlist(Event.Item.Name);
+                         else
+                           onAgentObject(Event.Item);
+                     }}),
       RemoveChannel_(Services_.Base.get(), Initial.Store),
       AgentsAlive_(Services_.Counts.gauge(
           {"dragonflystall_agents_alive", "Agents that answer pings.", ""})),
@@ -259,6 +268,7 @@
   Services_.log(LogClass::State, "agent-removed")
       .text("agent", Entry.Name)
       .number("revision", Revision);
+  StoreCalls_.count(platform::ObjectKind::Agent, "remove");
   RemoveChannel_.request(
       platform::removeCall(platform::ObjectKind::Agent, Entry.Name, Revision),
       RemoveTimeout,
@@ -278,6 +288,7 @@
     NextPing_ = Now + PingInterval;
     ping(Now);
     Agents_.expire(Now);
+    updateReading(Now);
     if (Services_.Rng() % 8 == 0)
       removeDead(Now);
   }
@@ -286,6 +297,20 @@
     finish();
 }
 
+void Balancer::updateReading(TimePoint Now) {
+  const bool WasPrimary = Reader_.isPrimary();
+  Reader_.update(Agents_.greatestRank(Now), Now);
+  const bool IsPrimary = Reader_.isPrimary();
+  const auto Level = IsPrimary ? platform::Consistency::Linearizable
+                               : platform::Consistency::Serializable;
+  Config_.setConsistency(Level);
+  AgentWatcher_.setConsistency(Level);
+  AgentWatcher_.setPause(IsPrimary ? PrimaryWatchPause : WatchPause);
+  if (IsPrimary != WasPrimary)
+    Services_.log(LogClass::State, "store-reading")
+        .text("consistency", name(Level));
+}
+
 bool Balancer::drained(TimePoint Now) const {
   const Duration SinceStop = Now - StopRequestedAt_;
   if (SinceStop >= Settings_.Grace - GraceMargin)
--- a/src/node/balancer.h
+++ b/src/node/balancer.h
@@ -5,6 +5,7 @@
 
 #include "node/process.h"
 #include "opaque/steering.h"
+#include "opaque/storereaders.h"
 
 namespace dragonflystall::node {
 
@@ -35,12 +36,16 @@
   /// the grace period is about to end.
   bool drained(TimePoint Now) const;
   void ping(TimePoint Now);
+  /// Watches the store as a primary reader or as one of the others.
+  void updateReading(TimePoint Now);
   /// Removes one dead agent's entry from the store.
   void removeDead(TimePoint Now);
   void onAgentObject(const platform::Object &Listed);
 
   opaque::Directory Agents_;
   opaque::Steering Steering_;
+  opaque::StoreReader Reader_;
+  StoreCallCounter StoreCalls_;
   ObjectWatcher AgentWatcher_;
   HttpChannel RemoveChannel_;
   /// Heads of one batch of packets; reused for each batch.
--- a/src/node/configsource.cpp
+++ b/src/node/configsource.cpp
@@ -27,8 +27,8 @@
                            ConfigSources Sources, Callbacks Notify)
     : Services_(Shared), Sources_(std::move(Sources)),
       Callbacks_(std::move(Notify)), Config_(Sources_.MaxFlowAge),
-      Manifests_(Shared, Health, Sources_.Store, platform::ObjectKind::Manifest,
-                 Sources_.WatchConsistency,
+      Manifests_(Shared, Health, Sources_.Watching,
+                 platform::ObjectKind::Manifest,
                  {[this](const platform::Page &P, bool) {
                     onManifests(P.Objects, Source::List);
                   },
@@ -41,8 +41,7 @@
                     onManifests(Objects, Source::Watch);
                   }}),
       Evacuations_(
-          Shared, Health, Sources_.Store, platform::ObjectKind::Evacuation,
-          Sources_.WatchConsistency,
+          Shared, Health, Sources_.Watching, platform::ObjectKind::Evacuation,
           {[this](const platform::Page &P, bool First) {
              if (First)
                ListedZones_.clear();
--- a/src/node/configsource.h
+++ b/src/node/configsource.h
@@ -10,10 +10,8 @@
 
 /// Where a process's configuration comes from.
 struct ConfigSources {
-  Endpoint Store;
+  WatchSettings Watching;
   std::vector<Endpoint> Seeds;
-  /// Consistency of the watches; see platform::Consistency for the costs.
-  platform::Consistency WatchConsistency = platform::Consistency::Linearizable;
   /// Fetch the state of a seed at the start even if the store answers: a peer
   /// may know agents that the store does not list at the moment.
   bool AlwaysFetchFromSeeds = false;
@@ -46,6 +44,11 @@
   /// from PeerHttp when this process stays behind.
   void onPeerVersions(const opaque::ConfigVersions &PeerVersions,
                       Endpoint PeerHttp, TimePoint Now);
+  /// Sets the consistency of the watches from the next calls on.
+  void setConsistency(platform::Consistency Level) {
+    Manifests_.setConsistency(Level);
+    Evacuations_.setConsistency(Level);
+  }
   void setSeeds(std::vector<Endpoint> Seeds) {
     Sources_.Seeds = std::move(Seeds);
   }
--- a/src/node/objectwatcher.cpp
+++ b/src/node/objectwatcher.cpp
@@ -29,27 +29,37 @@
       .text("cause", Cause);
 }
 
+void StoreCallCounter::count(platform::ObjectKind Kind, std::string_view Call,
+                             platform::Consistency Level) {
+  Services_.Counts
+      .counter({"dragonflystall_store_calls_total",
+                "Calls to the store by kind of object, call and consistency.",
+                fmt::format("kind=\"{}\",call=\"{}\",consistency=\"{}\"",
+                            name(Kind), Call, name(Level))})
+      .add();
+}
+
 ObjectWatcher::ObjectWatcher(Services &Shared, StoreHealth &Health,
-                             Endpoint Store, platform::ObjectKind Kind,
-                             platform::Consistency WatchConsistency,
-                             Callbacks Notify)
-    : Services_(Shared), Health_(Health), Kind_(Kind),
-      WatchConsistency_(WatchConsistency), Callbacks_(std::move(Notify)),
-      Channel_(Shared.Base.get(), Store), Watch_(Shared.Rng()) {}
+                             const WatchSettings &Watching,
+                             platform::ObjectKind Kind, Callbacks Notify)
+    : Services_(Shared), Health_(Health), Kind_(Kind), Calls_(Shared),
+      WatchWait_(opaque::StoreWatch::watchWait(Watching.History)),
+      WatchConsistency_(Watching.Level), Callbacks_(std::move(Notify)),
+      Channel_(Shared.Base.get(), Watching.Store), Watch_(Shared.Rng()) {}
 
 void ObjectWatcher::poll(TimePoint Now) {
   const auto Due = Watch_.next(Now);
   if (!Due)
     return;
-  Health_.onCall();
   if (Due->WatchFrom) {
-    Channel_.request(platform::watchCall(Kind_, *Due->WatchFrom,
-                                         opaque::StoreWatch::WatchWait,
+    Calls_.count(Kind_, "watch", WatchConsistency_);
+    Channel_.request(platform::watchCall(Kind_, *Due->WatchFrom, WatchWait_,
                                          WatchConsistency_),
-                     opaque::StoreWatch::WatchWait + WatchMargin,
+                     WatchWait_ + WatchMargin,
                      [this](const Answer &Result) { onWatchAnswer(Result); });
     return;
   }
+  Calls_.count(Kind_, "list", ListConsistency_);
   Channel_.request(platform::listCall(Kind_, Due->AfterName, ListConsistency_),
                    ListTimeout,
                    [this](const Answer &Result) { onListAnswer(Result); });
@@ -105,7 +115,7 @@
   if (!Changes)
     return onFailure("malformed changes in the store's answer");
   Health_.onAnswer(Kind_);
-  Watch_.onEvents(Changes->Revision);
+  Watch_.onEvents(Changes->Revision, Services_.now());
   Callbacks_.OnChanges(*Changes);
 }
 
--- a/src/node/objectwatcher.h
+++ b/src/node/objectwatcher.h
@@ -18,13 +18,30 @@
   void onAnswer(platform::ObjectKind Kind);
   void onFailure(platform::ObjectKind Kind, std::string_view Cause);
   bool up() const { return Up_; }
-  uint64_t calls() const { return Calls_; }
-  void onCall() { ++Calls_; }
 
 private:
   Services &Services_;
   bool Up_ = true;
-  uint64_t Calls_ = 0;
+};
+
+/// Counts calls to the store by kind of object, call and consistency.
+class StoreCallCounter {
+public:
+  explicit StoreCallCounter(Services &Shared) : Services_(Shared) {}
+  /// Call is the name of the call in the metrics, such as "list".
+  void count(platform::ObjectKind Kind, std::string_view Call,
+             platform::Consistency Level = platform::Consistency::Linearizable);
+
+private:
+  Services &Services_;
+};
+
+/// How the store is watched.
+struct WatchSettings {
+  Endpoint Store;
+  /// How long the store keeps past changes.
+  Duration History = 20s;
+  platform::Consistency Level = platform::Consistency::Linearizable;
 };
 
 class ObjectWatcher {
@@ -39,9 +56,16 @@
     std::function<void(const platform::Changes &)> OnChanges;
   };
 
-  ObjectWatcher(Services &Shared, StoreHealth &Health, Endpoint Store,
-                platform::ObjectKind Kind,
-                platform::Consistency WatchConsistency, Callbacks Notify);
+  ObjectWatcher(Services &Shared, StoreHealth &Health,
+                const WatchSettings &Watching, platform::ObjectKind Kind,
+                Callbacks Notify);
+
+  /// Sets the consistency of the watches from the next call on.
+  void setConsistency(platform::Consistency Level) {
+    WatchConsistency_ = Level;
+  }
+  /// See StoreWatch::setPause.
+  void setPause(Duration Pause) { Watch_.setPause(Pause); }
 
   /// Sends the list or watch call that is due, if any.
   void poll(TimePoint Now);
@@ -59,6 +83,8 @@
   Services &Services_;
   StoreHealth &Health_;
   platform::ObjectKind Kind_;
+  StoreCallCounter Calls_;
+  Duration WatchWait_;
   platform::Consistency WatchConsistency_;
   /// Serializable, as a watch brings an outdated list up to date at once. The
   /// list must be linearizable only after the history of a watch was gone or
--- a/src/node/process.cpp
+++ b/src/node/process.cpp
@@ -38,9 +38,6 @@
       StoreUp_(
           Services_.Counts.gauge({"dragonflystall_store_up",
                                   "Whether the store answers: 1 or 0.", ""})),
-      StoreCalls_(Services_.Counts.gauge(
-          {"dragonflystall_store_reads",
-           "List and watch calls to the store since the start.", ""})),
       LogLeftOut_(Services_.Counts.gauge(
           {"dragonflystall_log_left_out",
            "Log lines dropped by the rate limit or a full pipe.", ""})),
@@ -65,7 +62,8 @@
   Services_.log(LogClass::State, "start")
       .text("role", Role_)
       .text("zone", Settings_.Zone)
-      .text("packets", toString(Settings_.Packets));
+      .text("packets", toString(Settings_.Packets))
+      .number("first_start", Settings_.FirstStart);
   Config_.poll(Services_.now());
   event_base_dispatch(Services_.Base.get());
   Services_.log(LogClass::State, "stopped");
@@ -174,7 +172,6 @@
   if (Path == "/metrics") {
     ManifestVersion_.set(config().manifest().Version);
     StoreUp_.set(Health_.up());
-    StoreCalls_.set(static_cast<int64_t>(Health_.calls()));
     LogLeftOut_.set(static_cast<int64_t>(Services_.Log.droppedLines()));
     int64_t Dropped = 0;
     for (const auto &Socket : Sockets_)
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -88,7 +88,6 @@
   Counter &ControlMalformed_;
   Gauge &ManifestVersion_;
   Gauge &StoreUp_;
-  Gauge &StoreCalls_;
   Gauge &LogLeftOut_;
   Gauge &DatagramsDropped_;
 };
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -29,8 +29,9 @@
   Endpoint PeerControl;
   /// Peers from which the state is fetched when the store does not answer.
   std::vector<Endpoint> Seeds;
-  /// The metadata store (HTTP).
+  /// The metadata store (HTTP), and how long it keeps past changes.
   Endpoint Store;
+  Duration StoreHistory = 20s;
   /// An agent's local upstream (UDP), and its service.
   Endpoint Upstream;
   std::string Service;
--- a/src/opaque/control.cpp
+++ b/src/opaque/control.cpp
@@ -2,6 +2,7 @@
 // fields in the order of the structs.
 #include "opaque/control.h"
 
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace dragonflystall::opaque {
@@ -43,7 +44,8 @@
           Message.OpenFlows,
           Message.Busy,
           Message.FailureShare,
-          toJson(Message.Http)};
+          toJson(Message.Http),
+          Message.Rank};
 }
 Json toJson(const Find &F) {
   return {Kind::Find, toJson(F.Flow.Caller), toJson(F.Flow.Route)};
@@ -72,6 +74,14 @@
       throw Json::out_of_range::create(406, "number out of range", nullptr);
     return static_cast<T>(Wide);
   }
+  /// Reads a finite number that is not negative.
+  double amount() {
+    const double Value = next().get<double>();
+    if (!std::isfinite(Value) || Value < 0)
+      throw Json::out_of_range::create(406, "number out of range", nullptr);
+    return Value;
+  }
+  bool atEnd() const { return Index_ >= Array_.size(); }
   Endpoint endpoint() {
     const auto Packed = number<int64_t>();
     if (Packed >> 48)
@@ -125,9 +135,12 @@
   Message.ColdFor = std::chrono::milliseconds(Fields.number<uint32_t>());
   Message.Slots = std::max<uint32_t>(1, Fields.number<uint32_t>());
   Message.OpenFlows = Fields.number<uint32_t>();
-  Message.Busy = Fields.next().get<double>();
-  Message.FailureShare = Fields.next().get<double>();
+  Message.Busy = Fields.amount();
+  Message.FailureShare = Fields.amount();
   Message.Http = Fields.endpoint();
+  // Agents of earlier versions report no rank.
+  if (!Fields.atEnd())
+    Message.Rank = Fields.number<uint32_t>();
   return Message;
 }
 
--- a/src/opaque/control.h
+++ b/src/opaque/control.h
@@ -89,6 +89,8 @@
   /// Share of recent requests that failed, 0 to 1.
   double FailureShare = 0;
   Endpoint Http;
+  /// Number of balancers that come before the receiver; see StoreReader.
+  uint32_t Rank = 0;
 };
 
 /// Balancer to agent: asks whether the agent's upstream holds the flow.
--- a/src/opaque/directory.cpp
+++ b/src/opaque/directory.cpp
@@ -231,6 +231,14 @@
   return Slots;
 }
 
+std::optional<uint32_t> Directory::greatestRank(TimePoint Now) const {
+  std::optional<uint32_t> Greatest;
+  for (const auto &[Name, Member] : Agents_)
+    if (isAnswering(*Member, Now))
+      Greatest = std::max(Greatest.value_or(0), Member->LastReport.Rank);
+  return Greatest;
+}
+
 std::vector<const Agent *> Directory::removable(TimePoint Now) const {
   std::vector<const Agent *> Result;
   size_t Answering = 0;
--- a/src/opaque/directory.h
+++ b/src/opaque/directory.h
@@ -112,6 +112,9 @@
   /// Number of slots of all agents of a service, and of its open agents only.
   size_t slotsOf(const std::string &Service) const;
   size_t openSlotsOf(const std::string &Service, TimePoint Now) const;
+  /// The greatest Pong::Rank of the answering agents; std::nullopt if none
+  /// answers.
+  std::optional<uint32_t> greatestRank(TimePoint Now) const;
   /// Listed agents whose entries should be removed: silent for RemoveAfter
   /// while other agents answer.
   std::vector<const Agent *> removable(TimePoint Now) const;
--- a/src/opaque/opaqueparts_test.cpp
+++ b/src/opaque/opaqueparts_test.cpp
@@ -201,7 +201,7 @@
   // From the revision of the first page: changes between the pages arrive as
   // events.
   EXPECT_EQ(Watch.next(Now)->WatchFrom, 10);
-  Watch.onEvents(20);
+  Watch.onEvents(20, Now);
   EXPECT_EQ(Watch.next(Now)->WatchFrom, 20);
   Watch.restart();
   EXPECT_FALSE(Watch.next(Now)->WatchFrom);
--- a/src/opaque/registration.h
+++ b/src/opaque/registration.h
@@ -12,6 +12,12 @@
 public:
   enum class Call : uint8_t { Create, Read, Replace, Remove };
 
+  static constexpr std::array<std::string_view, 4> CallNames = {
+      "create", "read", "replace", "remove"};
+  friend constexpr std::string_view name(Call C) {
+    return CallNames[static_cast<size_t>(C)];
+  }
+
   explicit Registration(uint64_t Seed) : Retry_(Seed) {}
 
   /// Sets the entry that the store should have; std::nullopt for none.
--- /dev/null
+++ b/src/opaque/storereaders.h
@@ -0,0 +1,60 @@
+// Which balancers read the store linearizably. Load pattern: hundreds of
+// balancers that all learn the same few changes.
+//
+// Agents hear the pings of the balancers, rank them by a hash of their address,
+// and report each balancer's rank to it. The first few are primary readers. The
+// others watch the store serializably, which does not count toward its rate and
+// may be late, and catch up by the versions that pings and pongs carry. Nothing
+// is agreed on: too many or too few primary readers for a while do no harm.
+#ifndef DRAGONFLYSTALL_SRC_OPAQUE_STOREREADERS_H
+#define DRAGONFLYSTALL_SRC_OPAQUE_STOREREADERS_H
+
+#include "dragonflystall/clock.h"
+
+#include <optional>
+#include <vector>
+
+namespace dragonflystall::opaque {
+
+/// The balancers that ping an agent.
+class PingingBalancers {
+public:
+  /// A balancer that has sent no ping for this time is removed.
+  static constexpr Duration Timeout = 3s;
+
+  /// Control is the address for control messages to the balancer.
+  void onPing(Endpoint Control, TimePoint Now);
+  void expire(TimePoint Now);
+  /// Number of balancers that come before this one, by hash.
+  uint32_t rankOf(Endpoint Control) const;
+  const std::vector<Endpoint> &controls() const { return Controls_; }
+
+private:
+  std::vector<Endpoint> Controls_;
+  std::vector<TimePoint> LastPings_; ///< In the order of Controls_.
+};
+
+/// Whether this balancer is a primary reader.
+class StoreReader {
+public:
+  /// Enough that one is left when a host and a zone are lost.
+  static constexpr uint32_t PrimaryReaders = 3;
+  /// A balancer that no agent has answered for this time reads as a primary.
+  static constexpr Duration IsolatedAfter = 5s;
+
+  explicit StoreReader(TimePoint Started) : LastRanked_(Started) {}
+
+  /// Call regularly with the greatest rank that the answering agents report:
+  /// the agent that hears the most balancers knows best. std::nullopt if none
+  /// answers.
+  void update(std::optional<uint32_t> Rank, TimePoint Now);
+  bool isPrimary() const { return IsPrimary_; }
+
+private:
+  TimePoint LastRanked_;
+  bool IsPrimary_ = false;
+};
+
+} // namespace dragonflystall::opaque
+
+#endif
--- /dev/null
+++ b/src/opaque/storereaders_test.cpp
@@ -0,0 +1,107 @@
+// Which balancers read the store linearizably, and how often the store is
+// called.
+#include "opaque/control.h"
+#include "opaque/storereaders.h"
+#include "opaque/storewatch.h"
+
+#include <gtest/gtest.h>
+#include <limits>
+
+namespace dragonflystall::opaque::test {
+namespace {
+
+Endpoint balancer(uint32_t Number) { return {0x0a020000 + Number, 7721}; }
+
+TEST(PingingBalancers, EachBalancerHasItsOwnRank) {
+  PingingBalancers Heard;
+  TimePoint Now{100s};
+  constexpr uint32_t Balancers = 60;
+  for (uint32_t I = 0; I < Balancers; ++I)
+    Heard.onPing(balancer(I), Now);
+  std::vector<uint32_t> Ranks;
+  for (uint32_t I = 0; I < Balancers; ++I)
+    Ranks.push_back(Heard.rankOf(balancer(I)));
+  std::sort(Ranks.begin(), Ranks.end());
+  for (uint32_t I = 0; I < Balancers; ++I)
+    EXPECT_EQ(Ranks[I], I);
+}
+
+// Guards against a site without a primary reader after the first ones are lost.
+TEST(PingingBalancers, TheOthersMoveUpWhenABalancerFallsSilent) {
+  PingingBalancers Heard;
+  TimePoint Now{100s};
+  for (uint32_t I = 0; I < 10; ++I)
+    Heard.onPing(balancer(I), Now);
+  Endpoint Second;
+  for (uint32_t I = 0; I < 10; ++I)
+    if (Heard.rankOf(balancer(I)) == 1)
+      Second = balancer(I);
+  Now += PingingBalancers::Timeout + 1ms;
+  Heard.onPing(Second, Now);
+  Heard.expire(Now);
+  EXPECT_EQ(Heard.rankOf(Second), 0U);
+  EXPECT_EQ(Heard.controls(), std::vector<Endpoint>{Second});
+}
+
+TEST(StoreReader, TheFirstRanksAndIsolatedBalancersArePrimary) {
+  TimePoint Now{100s};
+  StoreReader Reader(Now);
+  EXPECT_FALSE(Reader.isPrimary());
+  Reader.update(StoreReader::PrimaryReaders, Now);
+  EXPECT_FALSE(Reader.isPrimary());
+  Reader.update(StoreReader::PrimaryReaders - 1, Now);
+  EXPECT_TRUE(Reader.isPrimary());
+  Reader.update(40, Now);
+  EXPECT_FALSE(Reader.isPrimary());
+  Reader.update(std::nullopt, Now + StoreReader::IsolatedAfter);
+  EXPECT_FALSE(Reader.isPrimary());
+  Reader.update(std::nullopt, Now + StoreReader::IsolatedAfter + 1ms);
+  EXPECT_TRUE(Reader.isPrimary());
+}
+
+// Guards against a watch that outlasts the store's history: it ends with the
+// answer that the history is gone, and the whole list is read again.
+TEST(StoreWatch, AWatchEndsWithinTheHistory) {
+  EXPECT_EQ(StoreWatch::watchWait(20s), 15s);
+  EXPECT_EQ(StoreWatch::watchWait(3600s), StoreWatch::MaxWatchWait);
+}
+
+// Replays a fleet whose entries change one after the other: each change made
+// each balancer call once.
+TEST(StoreWatch, ChangesInQuickSuccessionShareOneCall) {
+  StoreWatch Watch(1);
+  Watch.setPause(2s);
+  TimePoint Now{100s};
+  Watch.next(Now);
+  Watch.onPage(1, false, "");
+  int Calls = 0;
+  for (int Change = 0; Change < 100; ++Change, Now += 100ms) {
+    if (!Watch.next(Now))
+      continue;
+    ++Calls;
+    Watch.onEvents(2 + Change, Now);
+  }
+  EXPECT_EQ(Calls, 5);
+  Watch.restart();
+  EXPECT_TRUE(Watch.next(Now)) << "a list is not delayed";
+}
+
+TEST(Control, APongWithoutARankIsReadAndNonsenseIsRefused) {
+  Pong Report;
+  Report.Name = "a";
+  Report.Rank = 7;
+  std::string Bytes = encode(Report);
+  EXPECT_EQ(std::get<Pong>(*decodeControl(Bytes)).Rank, 7U);
+  // The array's length is in the low bits of its first byte; the rank is last.
+  --Bytes.front();
+  Bytes.pop_back();
+  EXPECT_EQ(std::get<Pong>(*decodeControl(Bytes)).Rank, 0U);
+  for (const double Value : {std::numeric_limits<double>::quiet_NaN(),
+                             std::numeric_limits<double>::infinity(), -1.0}) {
+    Report.Busy = Value;
+    EXPECT_FALSE(decodeControl(encode(Report)));
+  }
+}
+
+} // namespace
+} // namespace dragonflystall::opaque::test
--- a/src/opaque/storewatch.h
+++ b/src/opaque/storewatch.h
@@ -40,8 +40,14 @@
 
 class StoreWatch {
 public:
-  /// How long the store may delay the answer to a watch if there is no event.
-  static constexpr Duration WatchWait = 25s;
+  /// How long the store may delay the answer to a watch if there is no event,
+  /// at the most.
+  static constexpr Duration MaxWatchWait = 25s;
+  /// The same for a store that keeps this much history: a watch that outlasts
+  /// the history can't be continued.
+  static Duration watchWait(Duration History) {
+    return std::min(MaxWatchWait, History * 3 / 4);
+  }
 
   struct Call {
     /// Unset: list the names that follow AfterName. Set: watch from this
@@ -52,9 +58,13 @@
 
   explicit StoreWatch(uint64_t Seed) : Retry_(Seed) {}
 
+  /// Sets the least time between the answer to a watch and the next call, so
+  /// that changes in quick succession share an answer.
+  void setPause(Duration Pause) { Pause_ = Pause; }
+
   /// Returns the call that is due and marks it as in progress.
   std::optional<Call> next(TimePoint Now) {
-    if (CallInProgress_ || !Retry_.hasElapsed(Now))
+    if (CallInProgress_ || !Retry_.hasElapsed(Now) || Now < NextWatch_)
       return std::nullopt;
     CallInProgress_ = true;
     return Call{Revision_, ListAfter_};
@@ -74,9 +84,10 @@
     Revision_ = FirstPage_;
     FirstPage_ = 0;
   }
-  void onEvents(int64_t Revision) {
+  void onEvents(int64_t Revision, TimePoint Now) {
     CallInProgress_ = false;
     Retry_.onSuccess();
+    NextWatch_ = Now + Pause_;
     Revision_ = std::max(Revision, *Revision_);
   }
   /// Starts over with a list, if the store no longer has the history or the
@@ -84,6 +95,7 @@
   void restart() {
     CallInProgress_ = false;
     Revision_.reset();
+    NextWatch_ = {};
     ListAfter_.clear();
     FirstPage_ = 0;
   }
@@ -101,6 +113,8 @@
 private:
   Backoff Retry_;
   bool CallInProgress_ = false;
+  Duration Pause_{};
+  TimePoint NextWatch_{};
   std::optional<int64_t> Revision_;
   std::string ListAfter_;
   int64_t FirstPage_ = 0;
