--- a/src/opaque/directory.cpp
+++ b/src/opaque/directory.cpp
@@ -216,18 +216,6 @@
   return Next;
 }
 
-bool Directory::isAllCold(const std::string &Service, TimePoint Now) const {
-  bool HasCold = false;
-  for (const Agent *Member : agentsOf(Service)) {
-    if (!isAnswering(*Member, Now))
-      continue;
-    if (Member->LastReport.State == Intake::Open)
-      return false;
-    HasCold = HasCold || Member->LastReport.State == Intake::Cold;
-  }
-  return HasCold;
-}
-
 size_t Directory::slotsOf(const std::string &Service) const {
   size_t Slots = 0;
   for (const Agent *Member : agentsOf(Service))
--- a/src/opaque/directory.h
+++ b/src/opaque/directory.h
@@ -109,8 +109,6 @@
   /// the next cold agent will be warm; std::nullopt if neither is known.
   std::optional<TimePoint> nextCapacityAt(const std::string &Service,
                                           TimePoint Now) const;
-  /// Whether cold agents of a service answer, and no open ones.
-  bool isAllCold(const std::string &Service, TimePoint Now) const;
   /// Number of slots of all agents of a service, and of its open agents only.
   size_t slotsOf(const std::string &Service) const;
   size_t openSlotsOf(const std::string &Service, TimePoint Now) const;
--- a/src/opaque/manifest.h
+++ b/src/opaque/manifest.h
@@ -7,7 +7,6 @@
 #include "opaque/route.h"
 #include "opaque/routehistory.h"
 
-#include <algorithm>
 #include <map>
 #include <set>
 
@@ -61,12 +60,6 @@
   const RouteHistory &history() const { return History_; }
   RouteHistory &history() { return History_; }
 
-  /// Whether no route that sends new flows to the service is more urgent.
-  bool isMostUrgent(const std::string &Service, uint32_t Priority) const {
-    const auto It = MostUrgent_.find(Service);
-    return It == MostUrgent_.end() || Priority <= It->second;
-  }
-
   /// Takes the manifest if it is newer; returns whether it was taken.
   bool offer(Manifest Newer, Continuity Since, TimePoint Now) {
     if (Newer.Version <= Manifest_.Version)
@@ -75,7 +68,6 @@
       History_.onGap(Now);
     History_.onChange(Manifest_.Routes, Newer.Routes, Now);
     Manifest_ = std::move(Newer);
-    findMostUrgent();
     return true;
   }
   /// Takes the evacuations if they are newer; returns whether the zones
@@ -89,21 +81,7 @@
   }
 
 private:
-  void findMostUrgent() {
-    MostUrgent_.clear();
-    for (const auto &[Address, Route] : Manifest_.Routes)
-      for (const WeightedService &S : Route.Services) {
-        if (S.Weight <= 0)
-          continue;
-        const auto [It, IsNew] = MostUrgent_.emplace(S.Name, Route.Priority);
-        if (!IsNew)
-          It->second = std::min(It->second, Route.Priority);
-      }
-  }
-
   Manifest Manifest_;
-  /// The most urgent priority of the routes that send flows to a service.
-  std::unordered_map<std::string, uint32_t> MostUrgent_;
   Evacuations Evacuations_;
   RouteHistory History_;
 };
--- a/src/opaque/newflowqueue.cpp
+++ b/src/opaque/newflowqueue.cpp
@@ -20,15 +20,13 @@
 
 bool NewFlowQueue::add(const PacketHead &Head, std::string_view Bytes,
                        const std::string &Service, uint32_t Priority,
-                       size_t MaxPerService, TimePoint Now,
-                       TimePoint ColdFrom) {
+                       size_t MaxPerService, TimePoint Now) {
   if (sizeOf(Service) >= MaxPerService)
     return false;
   Queued_.push_back({hashOf(Head.fromCaller()),
                      Service,
                      Priority,
                      Now + AttemptTimeout,
-                     ColdFrom,
                      {Head, std::string(Bytes)}});
   return true;
 }
@@ -45,22 +43,10 @@
 
 std::vector<HeldPacket> NewFlowQueue::take(const std::string &Service,
                                            size_t Count) {
-  return takeIf(Count, [&](const Entry &E) { return E.Service == Service; });
-}
-
-std::vector<HeldPacket> NewFlowQueue::takeForCold(const std::string &Service,
-                                                  size_t Count, TimePoint Now) {
-  return takeIf(Count, [&](const Entry &E) {
-    return E.Service == Service && Now >= E.ColdFrom;
-  });
-}
-
-template <typename Predicate>
-std::vector<HeldPacket> NewFlowQueue::takeIf(size_t Count, Predicate Matches) {
   std::vector<uint64_t> Chosen;
   std::vector<const Entry *> Candidates;
   for (const Entry &E : Queued_)
-    if (Matches(E))
+    if (E.Service == Service)
       Candidates.push_back(&E);
   std::stable_sort(
       Candidates.begin(), Candidates.end(),
--- a/src/opaque/newflowqueue.h
+++ b/src/opaque/newflowqueue.h
@@ -1,9 +1,7 @@
 // Queue of new flows at a balancer. After a failure of many hosts, all
 // upstreams of a service are cold at once, take a few new flows per second, and
 // are warm a second or two later. A caller whose timeout is longer than that is
-// better served late than refused three times in a row. Less urgent flows wait
-// a moment before they use the little that cold upstreams take, so that urgent
-// ones come first.
+// better served late than refused three times in a row.
 #ifndef DRAGONFLYSTALL_SRC_OPAQUE_NEWFLOWQUEUE_H
 #define DRAGONFLYSTALL_SRC_OPAQUE_NEWFLOWQUEUE_H
 
@@ -21,20 +19,16 @@
   static constexpr Duration AttemptTimeout = 1400ms;
 
   /// Queues a SYN of a flow for the service. Returns false if MaxPerService
-  /// flows of the service are queued already. From ColdFrom on, the flow may be
-  /// offered to cold upstreams.
+  /// flows of the service are queued already.
   bool add(const PacketHead &Head, std::string_view Bytes,
            const std::string &Service, uint32_t Priority, size_t MaxPerService,
-           TimePoint Now, TimePoint ColdFrom = TimePoint::max());
+           TimePoint Now);
   /// Replaces the SYN of a queued flow by a newer copy. Returns whether the
   /// flow is queued.
   bool refresh(uint64_t Hash, const PacketHead &Head, std::string_view Bytes);
   /// Removes and returns up to Count flows of a service, most urgent priority
   /// first, then in the order of arrival.
   std::vector<HeldPacket> take(const std::string &Service, size_t Count);
-  /// The same for the flows that may be offered to cold upstreams now.
-  std::vector<HeldPacket> takeForCold(const std::string &Service, size_t Count,
-                                      TimePoint Now);
   /// Drops attempts that are older than AttemptTimeout.
   void expire(TimePoint Now);
 
@@ -48,11 +42,8 @@
     std::string Service;
     uint32_t Priority;
     TimePoint ExpiresAt;
-    TimePoint ColdFrom;
     HeldPacket Packet;
   };
-  template <typename Predicate>
-  std::vector<HeldPacket> takeIf(size_t Count, Predicate Matches);
   std::vector<Entry> Queued_; ///< In the order of arrival.
 };
 
--- a/src/opaque/steering.cpp
+++ b/src/opaque/steering.cpp
@@ -16,10 +16,6 @@
 /// A new flow is queued if an upstream will be warm within this share of the
 /// caller's timeout; the rest is left for the request itself.
 constexpr double MaxWaitShare = 0.75;
-/// While all upstreams of a service are cold, its most urgent flows are placed
-/// this long before the others, which is longer than callers take to return
-/// after a power failure or a reset.
-constexpr Duration UrgentHeadStart = 200ms;
 /// Limit on flows queued at one balancer, per slot of the service: with several
 /// balancers, the upstreams serve these within a fraction of a second.
 constexpr size_t QueuedPerSlot = 8;
@@ -116,13 +112,6 @@
   const WeightedService *Service = serviceFor(*Route, Hash, Now);
   if (!Service)
     return refuse(SteerReason::NoUpstream);
-  if (waitsForUrgent(Service->Name, *Route, Forwarding, Now)) {
-    const size_t MaxQueued = QueuedPerSlot * Agents_.slotsOf(Service->Name);
-    if (Queue_.refresh(Hash, Head, Bytes) ||
-        Queue_.add(Head, Bytes, Service->Name, Route->Priority, MaxQueued, Now,
-                   Now + UrgentHeadStart))
-      return drop(SteerReason::Queued);
-  }
   Agent *Best = nullptr;
   if (std::popcount(Forwarding.Tried) < MaxOffers)
     Best = Agents_.choose(Service->Name, Forwarding.Tried, Now);
@@ -138,14 +127,6 @@
   return Action;
 }
 
-bool Steering::waitsForUrgent(const std::string &Service, const Route &Route,
-                              const ForwardingState &Forwarding,
-                              TimePoint Now) const {
-  const bool IsFirstTry = !Forwarding.WasQueued && Forwarding.Tried == 0;
-  return IsFirstTry && !Config_.isMostUrgent(Service, Route.Priority) &&
-         Agents_.isAllCold(Service, Now);
-}
-
 SteerAction Steering::queueOrRefuse(const PacketHead &Head,
                                     std::string_view Bytes,
                                     const std::string &Service,
@@ -172,11 +153,7 @@
   const size_t Count = (Slots + SlotsPerRelease - 1) / SlotsPerRelease;
   ForwardingState Forwarding;
   Forwarding.WasQueued = true;
-  std::vector<HeldPacket> Packets =
-      Slots > 0
-          ? Queue_.take(Service, Count)
-          : Queue_.takeForCold(Service, Agents_.agentsOf(Service).size(), Now);
-  for (HeldPacket &Packet : Packets) {
+  for (HeldPacket &Packet : Queue_.take(Service, Count)) {
     SteerAction Action = placeFlow(Packet.Head, Packet.Bytes, Forwarding, Now);
     Actions.push_back({std::move(Action), std::move(Packet)});
   }
--- a/src/opaque/steering.h
+++ b/src/opaque/steering.h
@@ -112,9 +112,6 @@
   /// The services whose upstreams may hold open flows of the route.
   std::vector<std::string> servicesOf(Endpoint Address, const Route &Route,
                                       TimePoint Now) const;
-  /// Whether a new flow lets more urgent ones go first.
-  bool waitsForUrgent(const std::string &Service, const Route &Route,
-                      const ForwardingState &Forwarding, TimePoint Now) const;
   /// Places queued flows of a service, as many as its open slots allow.
   void placeQueued(const std::string &Service,
                    std::vector<DelayedAction> &Actions, TimePoint Now);
