New flows wait for a warm upstream for up to 9/10 of their timeout

Load: all upstreams are cold after a loss of power; callers return within milliseconds of a reset and lose all of their tries at once. A flow was refused although an upstream would be warm between 3/4 and 9/10 of its caller's timeout, which leaves 150 ms or more for a request of 20 ms.

--- a/src/opaque/opaque_test.cpp
+++ b/src/opaque/opaque_test.cpp
@@ -474,11 +474,30 @@
     Sim.run(10ms);
     Refused += Sim.Callers[Flow].Reset;
   }
-  // With a timeout of 1 s, a flow is queued for at most 750 ms; the warm-up
+  // With a timeout of 1 s, a flow is queued for at most 900 ms; the warm-up
   // lasts 1.4 s more.
   EXPECT_GE(Refused, 15U);
 }
 
+// Guards against refusals of flows that can still be served in time: callers
+// return at once, and lose all of their tries within milliseconds.
+TEST_F(Opaque, AFlowIsQueuedIfAnUpstreamWillBeWarmJustInTime) {
+  for (FakeHost &Host : Sim.Hosts) {
+    Host.Running = false;
+    Sim.restartUpstream(Host);
+    Sim.startAgent(Host);
+  }
+  Sim.run(1150ms);
+  std::vector<FlowId> Flows;
+  for (int I = 0; I < 40; ++I) {
+    Flows.push_back(Sim.newFlow(DeskRoute));
+    Sim.sendSyn(*First, Flows.back());
+  }
+  Sim.run(50ms);
+  for (const FlowId &Flow : Flows)
+    EXPECT_FALSE(Sim.Callers[Flow].Reset);
+}
+
 // Simulates a second of the load after a power failure at one balancer: a
 // refused flow must not be offered to all agents in turn.
 TEST_F(Opaque, AColdAgentThatHasRefusedGetsNoOffersForAWhile) {
--- a/src/opaque/steering.cpp
+++ b/src/opaque/steering.cpp
@@ -15,7 +15,7 @@
 constexpr Duration DiscoveryTime = 5s;
 /// A new flow is queued if an upstream will be warm within this share of the
 /// caller's timeout; the rest is left for the request itself.
-constexpr double MaxWaitShare = 0.75;
+constexpr double MaxWaitShare = 0.9;
 /// Limit on flows queued at one balancer, per slot of the service: with several
 /// balancers, the upstreams serve these within a fraction of a second.
 constexpr size_t QueuedPerSlot = 8;
