Tests for the faults that other operators report, and two mended

A second copy of an HTTP answer that arrived with the first was taken as the answer to the next request on the connection (HttpChannel: store and peers). The next request now replaces a connection with surplus bytes. A copy that arrives only after the next request was sent can't be told apart in HTTP/1.1; lists, watches and entries each have a channel of their own, and their answers are idempotent by revision.

A stopping balancer exited after 250 ms without a caller's packet although flows waited in its queue or searches were open: a planned stop cut them off. The decision is now a pure one (opaque::Shutdown) and waits for these flows within the grace period.

New tests for the others find no fault: answers that break off, hosts that are silent for a while, an upstream that has left after a balancer's restart.

The soak changes the desk's services and weights every 2.5 s beside its other faults, with random numbers of its own, so that the faults of known seeds stay. Two comments that lost a fact are mended.

--- a/include/dragonflystall/types.h
+++ b/include/dragonflystall/types.h
@@ -76,7 +76,8 @@
   friend auto operator<=>(const FlowKey &, const FlowKey &) = default;
 };
 
-/// A 64-bit hash of a flow (xxHash), equal in every process.
+/// A 64-bit hash of a flow (xxHash), equal in every process. All bits are well
+/// mixed: any of them may serve as an index.
 uint64_t hashFlow(const FlowKey &Flow);
 
 struct FlowKeyHash {
--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr Duration CheckInterval = 100ms;
+/// Faults before this one are drawn at random.
+constexpr auto RandomFaults = static_cast<size_t>(Fault::ChangeServices);
+constexpr Duration ServiceChangeInterval = 2500ms;
 /// The zone that Fault::Evacuate evacuates.
 const std::string EvacuatedZone = "zone-1";
 
@@ -17,9 +20,11 @@
   std::exponential_distribution<> Interval(1.0 / MeanInterval.count());
   for (TimePoint At = From + Duration(static_cast<int64_t>(Interval(Rng_)));
        At < Until; At += Duration(static_cast<int64_t>(Interval(Rng_)))) {
-    const auto Kind = static_cast<Fault>(Rng_() % FaultNames.size());
+    const auto Kind = static_cast<Fault>(Rng_() % RandomFaults);
     Events_.emplace(At, [this, Kind] { inject(Kind); });
   }
+  for (TimePoint At = From; At < Until; At += ServiceChangeInterval)
+    Events_.emplace(At, [this] { inject(Fault::ChangeServices); });
 }
 
 void Faults::tick(TimePoint Now) {
@@ -159,6 +164,17 @@
   });
 }
 
+void Faults::changeServices() {
+  const double Weight = ServiceRng_() % 100;
+  std::vector<opaque::WeightedService> Services = {{"desk", 100 - Weight}};
+  if (chance(ServiceRng_, 0.7))
+    Services.push_back({"print", Weight});
+  if (chance(ServiceRng_, 0.2))
+    Services = {{"print", 1}};
+  Fleet_.Manifest.Routes[DeskRoute].Services = std::move(Services);
+  Fleet_.publish();
+}
+
 void Faults::inject(Fault Kind) {
   Node &Balancer = randomBalancer();
   Host *Target = randomAvailableHost();
@@ -196,6 +212,9 @@
   case Fault::DropRoute:
     dropRoute();
     return record(Kind, "print");
+  case Fault::ChangeServices:
+    changeServices();
+    return record(Kind, "desk");
   case Fault::BadPaths:
     Fleet_.Callers->Path = {0.05, 0.02, 20ms};
     schedule(Length, [this] { Fleet_.Callers->Path = {}; });
--- a/soak/faults.h
+++ b/soak/faults.h
@@ -32,8 +32,9 @@
   Evacuate,
   DropRoute,
   BadPaths,
+  ChangeServices,
 };
-constexpr std::array<std::string_view, 21> FaultNames = {"kill-balancer",
+constexpr std::array<std::string_view, 22> FaultNames = {"kill-balancer",
                                                          "stop-balancer",
                                                          "pause-balancer",
                                                          "kill-agent",
@@ -53,7 +54,8 @@
                                                          "reuse",
                                                          "evacuate",
                                                          "drop-route",
-                                                         "bad-paths"};
+                                                         "bad-paths",
+                                                         "change-services"};
 constexpr std::string_view name(Fault Kind) {
   return FaultNames[static_cast<size_t>(Kind)];
 }
@@ -61,9 +63,10 @@
 class Faults {
 public:
   Faults(node::Services &Shared, Fleet &Deployment, uint64_t Seed)
-      : Shared_(Shared), Fleet_(Deployment), Rng_(Seed) {}
+      : Shared_(Shared), Fleet_(Deployment), Rng_(Seed), ServiceRng_(~Seed) {}
 
-  /// Schedules random faults that begin between the two times.
+  /// Schedules random faults that begin between the two times, and changes of
+  /// a route's services beside them.
   void plan(TimePoint From, TimePoint Until, Duration MeanInterval);
   /// Whether all faults have begun and ended.
   bool isFinished() const { return Events_.empty(); }
@@ -88,6 +91,8 @@
   void leaveWhenDrained(Host &Target, Action OnLeft);
   void evacuate();
   void dropRoute();
+  /// Changes the services of the desk's route and their weights.
+  void changeServices();
   Node &randomBalancer() { return pick(Fleet_.Balancers); }
   /// A random host, or nullptr if its upstream is down or draining or its agent
   /// is stopped or paused.
@@ -103,6 +108,9 @@
   node::Services &Shared_;
   Fleet &Fleet_;
   Random Rng_;
+  /// For changes of services alone, so that these leave the faults of a seed as
+  /// they are.
+  Random ServiceRng_;
   std::multimap<TimePoint, Action> Events_;
   std::map<std::string, int> Counts_;
 };
--- a/src/node/balancer.cpp
+++ b/src/node/balancer.cpp
@@ -11,15 +11,6 @@
 using opaque::SteerAction;
 
 constexpr Duration PingInterval = 500ms;
-/// Least time from the stop signal to the exit. The fabric stops sending after
-/// two failed probes, half a second apart. It continues longer when too few
-/// other balancers are left; the balancer serves its packets until they cease.
-constexpr Duration MinStopTime = 1100ms;
-/// A stopping balancer exits after this time without a caller's packet.
-constexpr Duration QuietBeforeExit = 250ms;
-/// A stopping balancer exits this long before the grace period ends, at which
-/// the process would be killed.
-constexpr Duration GraceMargin = 500ms;
 constexpr Duration RemoveTimeout = 2s;
 /// Pauses between watches of the agents' entries. The first balancers learn of
 /// a new agent soon; it is cold then, and the others need it later.
@@ -293,7 +284,7 @@
       removeDead(Now);
   }
   carryOut(Steering_.tick(Now), Now);
-  if (stopping() && drained(Now))
+  if (stopping() && mayExit(Now))
     finish();
 }
 
@@ -311,11 +302,11 @@
         .text("consistency", name(Level));
 }
 
-bool Balancer::drained(TimePoint Now) const {
-  const Duration SinceStop = Now - StopRequestedAt_;
-  if (SinceStop >= Settings_.Grace - GraceMargin)
-    return true;
-  return SinceStop >= MinStopTime && Now - LastCallerPacket_ >= QuietBeforeExit;
+bool Balancer::mayExit(TimePoint Now) const {
+  const opaque::Shutdown State = {Now - StopRequestedAt_,
+                                  Now - LastCallerPacket_,
+                                  Steering_.waitingFlows(), Settings_.Grace};
+  return State.mayExit();
 }
 
 } // namespace dragonflystall::node
--- a/src/node/balancer.h
+++ b/src/node/balancer.h
@@ -4,6 +4,7 @@
 #define DRAGONFLYSTALL_SRC_NODE_BALANCER_H
 
 #include "node/process.h"
+#include "opaque/shutdown.h"
 #include "opaque/steering.h"
 #include "opaque/storereaders.h"
 
@@ -32,9 +33,8 @@
                 TimePoint Now);
   void logAction(const opaque::SteerAction &Action,
                  const opaque::PacketHead &Head, TimePoint Now);
-  /// Whether a stopping balancer may exit: the fabric sends no more packets, or
-  /// the grace period is about to end.
-  bool drained(TimePoint Now) const;
+  /// Whether this stopping balancer may exit; see opaque::Shutdown.
+  bool mayExit(TimePoint Now) const;
   void ping(TimePoint Now);
   /// Watches the store as a primary reader or as one of the others.
   void updateReading(TimePoint Now);
--- a/src/opaque/opaque_test.cpp
+++ b/src/opaque/opaque_test.cpp
@@ -240,6 +240,45 @@
   EXPECT_EQ(Host.UpstreamState->intake(Sim.Now), Intake::Cold);
 }
 
+// Guards against a fault that other operators report: after a restart, a server
+// that had left was in use again. Here the balancer starts from a list and a
+// peer's state that still name the host.
+TEST_F(Opaque, ARestartedBalancerUsesNoUpstreamThatHasLeft) {
+  FakeHost &Left = Sim.Hosts[0];
+  Left.LocalUpstream.Draining = true;
+  Sim.beat(Left);
+  Sim.run(1s);
+  EXPECT_TRUE(Left.UpstreamState->onLeave(Left.LocalUpstream.Id));
+  Sim.HasPeerList = true;
+  Sim.startBalancer(*First);
+  for (int I = 0; I < 20; ++I) {
+    const FlowId Flow = Sim.open(*First, DeskRoute);
+    EXPECT_TRUE(Sim.Callers[Flow].Answered);
+  }
+  EXPECT_TRUE(Left.LocalUpstream.Opening.empty());
+  EXPECT_TRUE(Left.LocalUpstream.Open.empty());
+}
+
+// Guards against a fault that other operators report: a machine that was only
+// silent for a while had its running work given up. A packet of a flow at a
+// host that is silent for three seconds is not answered with a reset, and the
+// flow goes on when the host is back.
+TEST_F(Opaque, FlowsOfAHostThatIsSilentForAWhileGoOn) {
+  const FlowId Flow = Sim.open(*First, DeskRoute);
+  FakeHost &Holder = holderOf(Flow);
+  Holder.Running = false;
+  for (int I = 0; I < 6; ++I) {
+    Sim.run(500ms);
+    Sim.sendData(I % 2 ? *First : *Second, Flow, 20 + I);
+  }
+  Holder.Running = true;
+  Sim.run(1s);
+  Sim.sendData(*Second, Flow, 40);
+  Sim.run(20ms);
+  EXPECT_FALSE(Sim.Callers[Flow].Reset);
+  EXPECT_TRUE(Sim.Callers[Flow].Answered);
+}
+
 // An agent that restarts beside a running upstream is only stopping.
 TEST_F(Opaque, AnAgentThatStopsBesideARunningUpstreamIsWaitedFor) {
   const FlowId Flow = Sim.open(*First, DeskRoute);
--- a/src/opaque/opaqueparts_test.cpp
+++ b/src/opaque/opaqueparts_test.cpp
@@ -5,6 +5,7 @@
 #include "opaque/newflowqueue.h"
 #include "opaque/outcomes.h"
 #include "opaque/registration.h"
+#include "opaque/shutdown.h"
 #include "opaque/storewatch.h"
 #include "opaque/upstream.h"
 #include "types/environment_test.h"
@@ -54,6 +55,20 @@
   EXPECT_TRUE(Config.isEvacuated("a"));
 }
 
+// Guards against a fault that other operators report: a planned stop under load
+// cut off requests that had just been accepted. Here, flows that waited for
+// room were lost when callers sent nothing else for a quarter of a second.
+TEST(Shutdown, ABalancerServesTheFlowsThatWaitBeforeItExits) {
+  Shutdown State{Shutdown::MinTime, Shutdown::Quiet, 0, 6s};
+  EXPECT_TRUE(State.mayExit());
+  State.WaitingFlows = 1;
+  EXPECT_FALSE(State.mayExit());
+  State.SinceStop = 6s - Shutdown::GraceMargin;
+  EXPECT_TRUE(State.mayExit()) << "it would be killed";
+  EXPECT_FALSE((Shutdown{Shutdown::MinTime - 1ms, 1s, 0, 6s}.mayExit()));
+  EXPECT_FALSE((Shutdown{2s, Shutdown::Quiet - 1ms, 0, 6s}.mayExit()));
+}
+
 TEST(Outcomes, FailuresRaiseTheShareAndDecay) {
   Outcomes Recent;
   TimePoint Now{100s};
--- a/src/opaque/packet.h
+++ b/src/opaque/packet.h
@@ -17,7 +17,8 @@
   friend auto operator<=>(const FlowId &, const FlowId &) = default;
 };
 
-/// A 64-bit hash that is the same in every process.
+/// A 64-bit hash that is the same in every process. All bits are well mixed:
+/// any of them may serve as an index.
 uint64_t hashOf(const FlowId &Flow);
 /// "100.64.0.7:40001>198.18.0.1:443", the flow's id in logs.
 std::string toString(const FlowId &Flow);
--- a/src/opaque/steering.h
+++ b/src/opaque/steering.h
@@ -93,6 +93,8 @@
   void onPeerAgentList() { HasPeerList_ = true; }
 
   size_t queuedFlows() const { return Queue_.size(); }
+  /// Flows that are queued or searched for.
+  size_t waitingFlows() const { return Queue_.size() + Searches_.size(); }
   size_t cachedFlows() const { return Cache_.size(); }
 
 private:
--- a/src/requests/execution.cpp
+++ b/src/requests/execution.cpp
@@ -51,7 +51,8 @@
 }
 
 /// Starts the job if there is room; otherwise queues, spills or refuses it, in
-/// this order of preference while its deadline allows.
+/// this order of preference while its deadline allows. A job that no peer can
+/// take is queued beyond that, up to the service's MaxQueue.
 void Requests::State::dispatch(Job &Value, TimePoint Now, AgentActions &Out) {
   const bool InTime = Now < Value.Work.Deadline;
   if (!Leaving && InTime && Queue.empty() && Runs.size() < Limit.limit()) {
--- a/src/shell/http.cpp
+++ b/src/shell/http.cpp
@@ -75,11 +75,13 @@
 
   void open();
   void close();
+  /// Whether the server has sent more than the answers to our requests.
+  bool hasSurplus() const;
   static void onDone(evhttp_request *Request, void *Self);
 };
 
 void HttpChannel::State::open() {
-  if (Connection && !Broken)
+  if (Connection && !Broken && !hasSurplus())
     return;
   close();
   Connection = evhttp_connection_base_new(
@@ -87,6 +89,11 @@
   Broken = false;
 }
 
+bool HttpChannel::State::hasSurplus() const {
+  bufferevent *Buffer = evhttp_connection_get_bufferevent(Connection);
+  return evbuffer_get_length(bufferevent_get_input(Buffer)) > 0;
+}
+
 void HttpChannel::State::close() {
   if (Connection)
     evhttp_connection_free(Connection);
--- a/src/shell/http.h
+++ b/src/shell/http.h
@@ -62,8 +62,9 @@
   std::string Text;
 };
 
-/// One connection to one server, with one request at a time. A connection that
-/// failed is replaced by the next request.
+/// One connection to one server, with one request at a time. The next request
+/// replaces a connection that failed, or on which the server has sent more than
+/// the answers, such as a second copy of one.
 class HttpChannel {
 public:
   using Done = std::function<void(tl::expected<HttpResponse, HttpFailure>)>;
--- a/src/shell/http_test.cpp
+++ b/src/shell/http_test.cpp
@@ -1,9 +1,16 @@
 // An HTTP client and an HTTP server on one event loop.
 #include "shell/http.h"
 
+#include "shell/descriptor.h"
+#include "shell/socketaddress.h"
+
+#include <array>
+#include <atomic>
 #include <csignal>
 #include <event2/event.h>
 #include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <thread>
 
 namespace dragonflystall {
 namespace {
@@ -30,6 +37,87 @@
   }
 };
 
+/// A server that answers the first request of each connection with Replies[0],
+/// the second with Replies[1] and so on, byte for byte, then closes the
+/// connection. Each connection starts over.
+class RawServer {
+public:
+  RawServer(Endpoint Local, std::vector<std::string> Replies)
+      : Replies_(std::move(Replies)),
+        Listener_(::socket(AF_INET, SOCK_STREAM, 0)) {
+    const int On = 1;
+    ::setsockopt(Listener_.get(), SOL_SOCKET, SO_REUSEADDR, &On, sizeof On);
+    const sockaddr_in Address = toSockaddr(Local);
+    EXPECT_EQ(::bind(Listener_.get(),
+                     reinterpret_cast<const sockaddr *>(&Address),
+                     sizeof Address),
+              0);
+    ::listen(Listener_.get(), 4);
+    Thread_ = std::thread([this] { serve(); });
+  }
+  /// Number of connections accepted so far.
+  int connections() const { return Connections_; }
+  ~RawServer() {
+    ::shutdown(Listener_.get(), SHUT_RDWR);
+    Thread_.join();
+  }
+
+private:
+  void serve() {
+    while (true) {
+      const Descriptor Client(::accept(Listener_.get(), nullptr, nullptr));
+      if (Client.get() < 0)
+        return;
+      ++Connections_;
+      for (const std::string &Reply : Replies_) {
+        std::array<char, 4096> Request;
+        if (::recv(Client.get(), Request.data(), Request.size(), 0) <= 0)
+          break;
+        ::send(Client.get(), Reply.data(), Reply.size(), MSG_NOSIGNAL);
+      }
+    }
+  }
+
+  std::vector<std::string> Replies_;
+  Descriptor Listener_;
+  std::atomic<int> Connections_{0};
+  std::thread Thread_;
+};
+
+std::string reply(const std::string &Body) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Body.size()) +
+         "\r\n\r\n" + Body;
+}
+
+// Guards against a fault that other operators report: a server sent its answer
+// twice on a connection in use, and the copy became the next request's answer.
+TEST_F(Http, ASecondCopyOfAnAnswerIsNotTheNextAnswer) {
+  RawServer Server(Local, {reply("one") + reply("one"), reply("two")});
+  HttpChannel Channel(Base.get(), Local);
+  const auto First = call(Channel, {HttpMethod::Get, "/1", ""});
+  ASSERT_TRUE(First);
+  EXPECT_EQ(First->Body, "one");
+  // The copy may end the connection, but is never the answer.
+  const auto Second = call(Channel, {HttpMethod::Get, "/2", ""});
+  EXPECT_TRUE(!Second || Second->Body != "one" || Server.connections() > 1);
+}
+
+// Guards against a fault that other operators report: an answer that broke off
+// halfway was taken as complete.
+TEST_F(Http, AnAnswerThatBreaksOffIsAFailure) {
+  const std::string Whole = reply("{\"items\":[1,2,3]}");
+  RawServer Server(Local, {Whole.substr(0, Whole.size() - 4)});
+  HttpChannel Channel(Base.get(), Local);
+  EXPECT_FALSE(call(Channel, {HttpMethod::Get, "/", ""}));
+}
+
+TEST_F(Http, AChunkedAnswerThatBreaksOffIsAFailure) {
+  RawServer Server(Local, {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                           "\r\n5\r\n[1,2,\r\n"});
+  HttpChannel Channel(Base.get(), Local);
+  EXPECT_FALSE(call(Channel, {HttpMethod::Get, "/", ""}));
+}
+
 TEST_F(Http, ARequestIsAnswered) {
   HttpServer Server(Base.get(), [&](const HttpRequest &Request) {
     Received = Request;
