--- a/src/node/portprobe.cpp
+++ b/src/node/portprobe.cpp
@@ -23,8 +23,9 @@
     return;
   const sockaddr_in Target = toSockaddr(Address);
   // The result of connect() is read from the socket's error, in onDone().
-  ::connect(Socket_.get(), reinterpret_cast<const sockaddr *>(&Target),
-            sizeof Target);
+  static_cast<void>(::connect(Socket_.get(),
+                              reinterpret_cast<const sockaddr *>(&Target),
+                              sizeof Target));
   Event_.reset(event_new(Base, Socket_.get(), EV_WRITE, &onDone, this));
   event_add(Event_.get(), &ConnectTimeout);
 }
