--- a/src/opaque/weightedroutes_test.cpp
+++ b/src/opaque/weightedroutes_test.cpp
@@ -1,10 +1,8 @@
 // Routes that name several services, and open flows that outlive a change of
 // their route.
-#include "opaque/opaquesimulation_test.h"
+#include "opaque/opaquefixture_test.h"
 #include "types/environment_test.h"
 
-#include <gtest/gtest.h>
-
 namespace dragonflystall::opaque::test {
 namespace {
 
@@ -108,22 +106,7 @@
 }
 
 /// Three hosts each of two services, and a route that names both.
-struct WeightedRoutes : testing::Test {
-  Simulation Sim{1};
-  FakeBalancer *First = nullptr;
-  FakeBalancer *Second = nullptr;
-
-  void SetUp() override {
-    for (int I = 0; I < 3; ++I) {
-      Sim.addHost("desk");
-      Sim.addHost("print");
-    }
-    First = &Sim.addBalancer();
-    Second = &Sim.addBalancer();
-    Sim.run(20s);
-  }
-  void TearDown() override { EXPECT_EQ(Sim.BrokenInvariant, ""); }
-
+struct WeightedRoutes : Opaque {
   void setServices(Services Named) {
     Sim.SharedManifest.Routes[DeskRoute].Services = std::move(Named);
     Sim.publish();
