A balancer that lacks the newest entries does not reset flows

Pings now carry the revision of the newest entry known, agents return the greatest with their answers to searches, and a balancer that has not read the store up to it ends its search in silence.

--- a/src/node/agent.cpp
+++ b/src/node/agent.cpp
@@ -245,14 +245,15 @@
                       TimePoint Now) {
   if (const auto *Search = std::get_if<opaque::Find>(&Message)) {
     if (const auto Verdict = Gate_.holding(Search->Flow, Now))
-      sendControl(From,
-                  opaque::Located{Settings_.Name, Search->Flow, *Verdict});
+      sendControl(From, opaque::Located{Settings_.Name, Search->Flow, *Verdict,
+                                        NewestEntry_});
     return;
   }
   const auto *Ping = std::get_if<opaque::Ping>(&Message);
   if (!Ping || Ping->Name != Settings_.Name)
     return;
   Balancers_.onPing(From, Now);
+  NewestEntry_ = std::max(NewestEntry_, Ping->NewestEntry);
   if (Ping->MissingAsOf != 0)
     Registration_.onMissing(Ping->MissingAsOf);
   Config_.onPeerVersions(Ping->Versions, Ping->Http, Now);
--- a/src/node/agent.h
+++ b/src/node/agent.h
@@ -60,6 +60,8 @@
   UdpSocket *UpstreamSocket_ = nullptr;
   StoreCallCounter StoreCalls_;
   opaque::PingingBalancers Balancers_;
+  /// The newest entry that a balancer has reported; see Ping::NewestEntry.
+  int64_t NewestEntry_ = 0;
   opaque::Intake ReportedIntake_ = opaque::Intake::Unready;
   TimePoint NextHello_{};
   bool EntryRemoved_ = false;
--- a/src/node/balancer.cpp
+++ b/src/node/balancer.cpp
@@ -46,6 +46,7 @@
                      },
                      [this] {
                        Agents_.listAll(ListedAgents_, Services_.now());
+                       Agents_.onListedAsOf(AgentWatcher_.revision());
                        Services_.log(LogClass::State, "agents-listed")
                            .number("count", ListedAgents_.size())
                            .number("revision", AgentWatcher_.revision());
@@ -60,6 +61,7 @@
                            Agents_.unlist(Event.Item.Name);
                          else
                            onAgentObject(Event.Item);
+                       Agents_.onListedAsOf(C.Revision);
                      }}),
       RemoveChannel_(Services_.Base.get(), Initial.Store),
       AgentsAlive_(Services_.Counts.gauge(
@@ -232,6 +234,7 @@
     if (!Agent->listed() && AgentWatcher_.listed())
       Message.MissingAsOf = AgentWatcher_.revision();
     Message.Http = Settings_.Peers;
+    Message.NewestEntry = Agents_.newestEntry();
     const bool WasSuspect = Agents_.isSuspect(*Agent, Now - PingInterval);
     Agents_.onPingSent(*Agent, Now);
     sendControl(Agent->Entry.Control, Message);
--- a/src/opaque/control.cpp
+++ b/src/opaque/control.cpp
@@ -30,7 +30,8 @@
 Json toJson(const Ping &Message) {
   return {Kind::Ping,          Message.Name,
           Message.Number,      toJson(Message.Versions),
-          Message.MissingAsOf, toJson(Message.Http)};
+          Message.MissingAsOf, toJson(Message.Http),
+          Message.NewestEntry};
 }
 Json toJson(const Pong &Message) {
   return {Kind::Pong,
@@ -51,8 +52,12 @@
   return {Kind::Find, toJson(F.Flow.Caller), toJson(F.Flow.Route)};
 }
 Json toJson(const Located &Message) {
-  return {Kind::Located, Message.Name, toJson(Message.Flow.Caller),
-          toJson(Message.Flow.Route), Message.Verdict};
+  return {Kind::Located,
+          Message.Name,
+          toJson(Message.Flow.Caller),
+          toJson(Message.Flow.Route),
+          Message.Verdict,
+          Message.NewestEntry};
 }
 Json toJson(const Hello &H) { return {Kind::Hello, toJson(H.Entry)}; }
 
@@ -119,6 +124,9 @@
   Message.Versions = Fields.versions();
   Message.MissingAsOf = Fields.number<int64_t>();
   Message.Http = Fields.endpoint();
+  // Balancers of earlier versions do not report it.
+  if (!Fields.atEnd())
+    Message.NewestEntry = Fields.number<int64_t>();
   return Message;
 }
 
@@ -159,6 +167,9 @@
   if (Verdict >= HoldingNames.size())
     throw Json::out_of_range::create(406, "unknown holding verdict", nullptr);
   Message.Verdict = static_cast<Holding>(Verdict);
+  // Agents of earlier versions do not report it.
+  if (!Fields.atEnd())
+    Message.NewestEntry = Fields.number<int64_t>();
   return Message;
 }
 
--- a/src/opaque/control.h
+++ b/src/opaque/control.h
@@ -49,6 +49,8 @@
   /// The store revision of a list of agents in which the balancer found no
   /// entry of the agent; 0 if the agent is listed or the list is not known.
   int64_t MissingAsOf = 0;
+  /// The revision of the newest entry of an agent that the balancer knows.
+  int64_t NewestEntry = 0;
   /// The balancer's HTTP address for peers.
   Endpoint Http;
 };
@@ -115,6 +117,9 @@
   std::string Name;
   FlowId Flow;
   Holding Verdict = Holding::Unsure;
+  /// The revision of the newest entry of an agent that any balancer has
+  /// reported. A balancer that knows only older ones may not know the holder.
+  int64_t NewestEntry = 0;
 };
 
 /// Agent to a seed balancer, while the agent can't be listed in the store.
--- a/src/opaque/deadflows_test.cpp
+++ b/src/opaque/deadflows_test.cpp
@@ -111,6 +111,43 @@
   EXPECT_EQ(Host.UpstreamState->intake(Sim.Now), Intake::Cold);
 }
 
+// Guards against a fault of hangar-lund-now-grown hunt-7426-7: a balancer that
+// had not yet read the entry of a new agent reset a flow that another balancer
+// had opened there.
+TEST_F(Opaque, ABalancerThatDoesNotKnowTheHolderYetDoesNotResetTheFlow) {
+  for (FakeHost &Host : Sim.Hosts)
+    Host.LocalUpstream.Draining = true;
+  Sim.run(1s);
+  FakeHost &Added = Sim.addHost("desk");
+  First->Agents->list(Added.Entry, 9, Sim.Now);
+  Sim.run(1s);
+  const FlowId Flow = Sim.open(*First, DeskRoute);
+  ASSERT_EQ(&holderOf(Flow), &Added);
+  Sim.sendData(*Second, Flow, 11);
+  Sim.run(700ms);
+  EXPECT_FALSE(Sim.Callers[Flow].Reset);
+  Second->Agents->list(Added.Entry, 9, Sim.Now);
+  Sim.sendData(*Second, Flow, 11);
+  Sim.run(50ms);
+  EXPECT_TRUE(Sim.Callers[Flow].Answered);
+}
+
+// The entry that other balancers saw last may be gone from the list of one that
+// starts: it must not wait for it forever.
+TEST_F(Opaque, ARemovedEntryDoesNotKeepABalancerFromResets) {
+  const FlowId Flow = Sim.open(*First, DeskRoute);
+  for (FakeHost &Host : Sim.Hosts)
+    Host.NewestEntry = 9;
+  Sim.restartUpstream(holderOf(Flow));
+  Sim.sendData(*Second, Flow, 11);
+  Sim.run(50ms);
+  EXPECT_FALSE(Sim.Callers[Flow].Reset);
+  Second->Agents->onListedAsOf(9);
+  Sim.sendData(*Second, Flow, 11);
+  Sim.run(50ms);
+  EXPECT_TRUE(Sim.Callers[Flow].Reset);
+}
+
 // An agent that restarts beside a running upstream is only stopping.
 TEST_F(Opaque, AnAgentThatStopsBesideARunningUpstreamIsWaitedFor) {
   const FlowId Flow = Sim.open(*First, DeskRoute);
--- a/src/opaque/directory.cpp
+++ b/src/opaque/directory.cpp
@@ -58,6 +58,7 @@
 
 void Directory::list(const AgentEntry &Entry, int64_t Revision, TimePoint Now) {
   upsert(Entry, Now).Revision = Revision;
+  NewestEntry_ = std::max(NewestEntry_, Revision);
 }
 
 void Directory::addUnlisted(const AgentEntry &Entry, TimePoint Now) {
--- a/src/opaque/directory.h
+++ b/src/opaque/directory.h
@@ -112,6 +112,12 @@
   /// Number of slots of all agents of a service, and of its open agents only.
   size_t slotsOf(const std::string &Service) const;
   size_t openSlotsOf(const std::string &Service, TimePoint Now) const;
+  /// Call when all entries as of this revision of the store are known.
+  void onListedAsOf(int64_t Revision) { ListedAsOf_ = Revision; }
+  /// The revision of the newest entry that the store has listed.
+  int64_t newestEntry() const { return NewestEntry_; }
+  /// Entries up to this revision are known, or have been removed.
+  int64_t knownAsOf() const { return std::max(NewestEntry_, ListedAsOf_); }
   /// The greatest Pong::Rank of the answering agents; std::nullopt if none
   /// answers.
   std::optional<uint32_t> greatestRank(TimePoint Now) const;
@@ -127,6 +133,8 @@
 
   std::string Zone_;
   Random Rng_;
+  int64_t NewestEntry_ = 0;
+  int64_t ListedAsOf_ = 0;
   std::map<std::string, std::unique_ptr<Agent>> Agents_;
   // Indexes of Agents_; rebuild() updates them.
   std::unordered_map<AgentId, Agent *> ById_;
--- a/src/opaque/opaqueparts_test.cpp
+++ b/src/opaque/opaqueparts_test.cpp
@@ -320,13 +320,13 @@
   Report.Busy = 1.5;
   switch (Kind) {
   case 0:
-    return Ping{"a", 3, {1, 2, 3}, 4, {5, 6}};
+    return Ping{"a", 3, {1, 2, 3}, 4, 7, {5, 6}};
   case 1:
     return Report;
   case 2:
     return Find{Flow};
   case 3:
-    return Located{"a", Flow, Holding::Denies};
+    return Located{"a", Flow, Holding::Denies, 8};
   default:
     return Hello{Entry};
   }
--- a/src/opaque/opaquesimulation_test.h
+++ b/src/opaque/opaquesimulation_test.h
@@ -44,6 +44,7 @@
   AgentEntry Entry;
   FakeUpstream LocalUpstream;
   bool Running = true;
+  int64_t NewestEntry = 0;  ///< As reported by balancers.
   TimePoint RunningSince{}; ///< Start of the agent.
   Intake Reported = Intake::Unready;
   Configuration Config;
@@ -350,7 +351,7 @@
     const auto Verdict = Host->PacketGate->holding(Flow, Now);
     if (!Verdict)
       return;
-    const Located Answer = {Name, Flow, *Verdict};
+    const Located Answer = {Name, Flow, *Verdict, Host->NewestEntry};
     later([this, &Balancer, Answer] {
       if (Balancer.Running)
         carryOut(Balancer, Balancer.Core->onLocated(Answer, Now));
@@ -489,9 +490,13 @@
   void ping(FakeBalancer &Balancer) {
     for (const auto &[Name, A] : Balancer.Agents->agents()) {
       Balancer.Agents->onPingSent(*A, Now);
-      later([this, &Balancer, Name = Name] {
-        if (FakeHost *Host = running(Name))
-          pong(Balancer, *Host);
+      later([this, &Balancer, Name = Name,
+             Newest = Balancer.Agents->newestEntry()] {
+        FakeHost *Host = running(Name);
+        if (!Host)
+          return;
+        Host->NewestEntry = std::max(Host->NewestEntry, Newest);
+        pong(Balancer, *Host);
       });
     }
   }
--- a/src/opaque/steering.cpp
+++ b/src/opaque/steering.cpp
@@ -322,6 +322,9 @@
   }
   if (!Pending || std::erase(Pending->AwaitedAgents, Sender->Id) == 0)
     return Actions;
+  // The flow may be at an agent that this balancer has not heard of.
+  if (Message.NewestEntry > Agents_.knownAsOf())
+    Pending->Incomplete = true;
   if (Message.Verdict == Holding::Unsure) {
     // A packet may not be offered to a service that, as far as is known, the
     // route has never named.
