Control messages: say where added fields stand

Ping::NewestEntry and others are encoded last, not in the order of the structs as the head comment had it.

No functional change.

--- a/src/opaque/control.cpp
+++ b/src/opaque/control.cpp
@@ -1,5 +1,6 @@
 // CBOR encoding of control messages: an array of the kind, followed by the
-// fields in the order of the structs.
+// fields in the order of the structs. Fields that were added later come last,
+// so that processes of earlier versions can read the rest.
 #include "opaque/control.h"
 
 #include <cmath>
