--- a/src/node/agent.cpp
+++ b/src/node/agent.cpp
@@ -319,6 +319,7 @@
   const TimePoint Now = Services_.now();
   if (!Result)
     return Registration_.onUnknown(Now);
+  Health_.onEra(platform::ObjectKind::Agent, platform::storeEraOf(*Result));
   const int Status = Result->Status;
   const bool Removed =
       Sent == opaque::Registration::Call::Remove && Result->succeeded();
--- a/src/node/balancer.cpp
+++ b/src/node/balancer.cpp
@@ -49,7 +49,8 @@
                        Agents_.onListedAsOf(AgentWatcher_.revision());
                        Services_.log(LogClass::State, "agents-listed")
                            .number("count", ListedAgents_.size())
-                           .number("revision", AgentWatcher_.revision());
+                           .number("revision", AgentWatcher_.revision())
+                           .number("era", Health_.era());
                        ListedAgents_.clear();
                        AgentsKnown_ = true;
                        Steering_.onAgentsListed(Services_.now());
@@ -159,7 +160,10 @@
 
 void Balancer::logAction(const SteerAction &Action,
                          const opaque::PacketHead &Head, TimePoint Now) {
-  const LogClass Class = Action.Reason == opaque::SteerReason::Placed
+  const bool IsLost =
+      Action.Outcome || Action.Reason == opaque::SteerReason::AskedAll;
+  const LogClass Class = IsLost ? LogClass::Lost
+                         : Action.Reason == opaque::SteerReason::Placed
                              ? LogClass::Routine
                              : LogClass::Notable;
   auto Line = Services_.log(
@@ -172,9 +176,15 @@
       .number("manifest", config().manifest().Version)
       .number("echo", Head.Echo)
       .number("queued", Steering_.queuedFlows());
-  if (Action.Reason == opaque::SteerReason::Lost)
-    Line.number("unanswered", Action.UnansweredQueries)
-        .number("all_known", Action.KnowsAllAgents);
+  if (const auto &Outcome = Action.Outcome)
+    Line.text("services", fmt::format("{}", fmt::join(Outcome->Services, ",")))
+        .number("unanswered", Outcome->Unanswered)
+        .number("offers", Outcome->Offers)
+        .number("all_known", Outcome->KnowsAllAgents)
+        .number("history_complete", Outcome->HistoryComplete)
+        .number("widened", Outcome->Widened)
+        .number("known_as_of", Outcome->KnownAsOf)
+        .number("reported_entry", Outcome->ReportedEntry);
   if (!Action.Target)
     return;
   Line.text("agent", Action.Target->Entry.Name)
--- a/src/node/configsource.cpp
+++ b/src/node/configsource.cpp
@@ -71,6 +71,23 @@
     fetch(Sources_.Seeds[NextSeed_++ % Sources_.Seeds.size()], Now);
 }
 
+void ConfigSource::logHistory(const platform::PeerState &Peer) {
+  const auto PeerManifest = platform::decodeManifest(Peer.ManifestContent);
+  const opaque::RouteHistoryState Known =
+      Config_.history().state(Services_.now());
+  auto Line = Services_.log(LogClass::State, "route-history");
+  Line.text("peer", toString(PeerChannel_->server()))
+      .number("peer_manifest", PeerManifest ? PeerManifest->Version : 0)
+      .number("manifest", Config_.manifest().Version)
+      .number("peer_former", Peer.History.Former.size())
+      .number("former", Known.Former.size())
+      .number("complete", Config_.history().isComplete(Services_.now()));
+  if (Peer.History.Span)
+    Line.age("peer_span_ms", *Peer.History.Span);
+  if (Known.Span)
+    Line.age("span_ms", *Known.Span);
+}
+
 bool ConfigSource::isSeedFetchDue(TimePoint Now) const {
   if (Sources_.Seeds.empty())
     return false;
@@ -162,6 +179,7 @@
   const bool NewManifest = !State.ManifestContent.empty() &&
                            offerManifest(State.ManifestContent, Source::Peer);
   Config_.history().merge(State.History, Services_.now());
+  logHistory(State);
   if (State.Evacuations.Revision > 0)
     offerEvacuations(State.Evacuations, "peer");
   if (Callbacks_.OnAgents)
--- a/src/node/configsource.h
+++ b/src/node/configsource.h
@@ -62,6 +62,8 @@
   void offerEvacuations(opaque::Evacuations Newer, std::string_view From);
   void fetch(Endpoint Peer, TimePoint Now);
   void onPeerState(const platform::PeerState &State);
+  /// Logs the route history after that of a peer was merged.
+  void logHistory(const platform::PeerState &Peer);
 
   bool isSeedFetchDue(TimePoint Now) const;
 
--- a/src/node/objectwatcher.cpp
+++ b/src/node/objectwatcher.cpp
@@ -20,6 +20,16 @@
   Services_.log(LogClass::State, "store-back").text("kind", name(Kind));
 }
 
+void StoreHealth::onEra(platform::ObjectKind Kind, int64_t Era) {
+  if (Era == 0 || Era == Era_)
+    return;
+  Services_.log(LogClass::State, "store-era")
+      .text("kind", name(Kind))
+      .number("era", Era)
+      .number("before", Era_);
+  Era_ = Era;
+}
+
 void StoreHealth::onFailure(platform::ObjectKind Kind, std::string_view Cause) {
   if (!Up_)
     return;
@@ -79,6 +89,7 @@
 void ObjectWatcher::onListAnswer(const Answer &Result) {
   if (!Result)
     return onFailure(Result.error().Text);
+  Health_.onEra(Kind_, platform::storeEraOf(*Result));
   if (Result->Status != HttpStatus::Ok)
     return onFailure(fmt::format("HTTP status {}", Result->Status));
   const auto Page = platform::decodePage(Result->Body);
@@ -101,10 +112,12 @@
 void ObjectWatcher::onWatchAnswer(const Answer &Result) {
   if (!Result)
     return onFailure(Result.error().Text);
+  Health_.onEra(Kind_, platform::storeEraOf(*Result));
   if (Result->Status == HttpStatus::Gone) {
     Services_.log(LogClass::State, "watch-history-gone")
         .text("kind", name(Kind_))
-        .number("revision", Watch_.revision());
+        .number("revision", Watch_.revision())
+        .number("era", Health_.era());
     ListConsistency_ = platform::Consistency::Linearizable;
     Watch_.restart();
     return;
--- a/src/node/objectwatcher.h
+++ b/src/node/objectwatcher.h
@@ -10,18 +10,23 @@
 
 namespace dragonflystall::node {
 
-/// Whether the store answers this process. Logs each change of that state.
+/// Whether the store answers this process, and from which era. Logs each change
+/// of either.
 class StoreHealth {
 public:
   explicit StoreHealth(Services &Shared) : Services_(Shared) {}
 
   void onAnswer(platform::ObjectKind Kind);
+  /// Call with the era of each answer, whatever its status.
+  void onEra(platform::ObjectKind Kind, int64_t Era);
   void onFailure(platform::ObjectKind Kind, std::string_view Cause);
   bool up() const { return Up_; }
+  int64_t era() const { return Era_; }
 
 private:
   Services &Services_;
   bool Up_ = true;
+  int64_t Era_ = 0; ///< Of the last answer that named one.
 };
 
 /// Counts calls to the store by kind of object, call and consistency.
--- a/src/node/process.cpp
+++ b/src/node/process.cpp
@@ -38,6 +38,10 @@
       StoreUp_(
           Services_.Counts.gauge({"dragonflystall_store_up",
                                   "Whether the store answers: 1 or 0.", ""})),
+      StoreEra_(Services_.Counts.gauge(
+          {"dragonflystall_store_era",
+           "Era of the store: one more each time it returns from a copy.",
+           ""})),
       LogLeftOut_(Services_.Counts.gauge(
           {"dragonflystall_log_left_out",
            "Log lines dropped by the rate limit or a full pipe.", ""})),
@@ -172,6 +176,7 @@
   if (Path == "/metrics") {
     ManifestVersion_.set(config().manifest().Version);
     StoreUp_.set(Health_.up());
+    StoreEra_.set(Health_.era());
     LogLeftOut_.set(static_cast<int64_t>(Services_.Log.droppedLines()));
     int64_t Dropped = 0;
     for (const auto &Socket : Sockets_)
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -88,6 +88,7 @@
   Counter &ControlMalformed_;
   Gauge &ManifestVersion_;
   Gauge &StoreUp_;
+  Gauge &StoreEra_;
   Gauge &LogLeftOut_;
   Gauge &DatagramsDropped_;
 };
--- a/src/observe/eventlog.cpp
+++ b/src/observe/eventlog.cpp
@@ -46,9 +46,9 @@
     return;
   BudgetStart_ = Now;
   UsedLines_ = {};
-  const std::array<uint64_t, 3> DroppedLines = std::exchange(DroppedLines_, {});
+  const PerClass<uint64_t> DroppedLines = std::exchange(DroppedLines_, {});
   const uint64_t BlockedLines = std::exchange(BlockedLines_, 0);
-  if (DroppedLines == std::array<uint64_t, 3>{} && BlockedLines == 0)
+  if (DroppedLines == PerClass<uint64_t>{} && BlockedLines == 0)
     return;
   Line L(*this, LogClass::State, "log-left-out");
   for (size_t I = 0; I < DroppedLines.size(); ++I)
--- a/src/observe/eventlog.h
+++ b/src/observe/eventlog.h
@@ -15,11 +15,12 @@
 /// Importance of a line. Each class has its own budget of lines.
 enum class LogClass : uint8_t {
   Routine, ///< Normal operation of a single flow.
-  Notable, ///< A flow was refused, lost or moved.
+  Notable, ///< A flow was refused, searched for or moved.
   State,   ///< The process's state or its view of others changed.
+  Lost,    ///< The holder of an open flow was not found.
 };
-constexpr std::array<std::string_view, 3> LogClassNames = {"routine", "notable",
-                                                           "state"};
+constexpr std::array<std::string_view, 4> LogClassNames = {"routine", "notable",
+                                                           "state", "lost"};
 constexpr std::string_view name(LogClass C) {
   return LogClassNames[static_cast<size_t>(C)];
 }
@@ -27,7 +28,8 @@
 class EventLog {
 public:
   /// Maximum number of lines per second of each class.
-  static constexpr std::array<uint32_t, 3> LinesPerSecond = {10, 30, 50};
+  static constexpr std::array<uint32_t, LogClassNames.size()> LinesPerSecond = {
+      10, 30, 50, 30};
 
   explicit EventLog(const std::string &Process, int Descriptor = 1);
 
@@ -63,15 +65,17 @@
   uint64_t droppedLines() const { return TotalDroppedLines_; }
 
 private:
+  template <typename T> using PerClass = std::array<T, LogClassNames.size()>;
+
   void write(std::string_view Text);
 
   std::string Process_;
   int Descriptor_;
   TimePoint Now_{};
   TimePoint BudgetStart_{}; ///< When the budgets were last renewed.
-  std::array<uint32_t, 3> UsedLines_{};
-  std::array<uint64_t, 3> DroppedLines_{}; ///< Since the last renewal.
-  uint64_t BlockedLines_ = 0; ///< Lines lost because the pipe was full.
+  PerClass<uint32_t> UsedLines_{};
+  PerClass<uint64_t> DroppedLines_{}; ///< Since the last renewal.
+  uint64_t BlockedLines_ = 0;         ///< Lines lost because the pipe was full.
   uint64_t TotalDroppedLines_ = 0;
 };
 
--- a/src/opaque/steering.cpp
+++ b/src/opaque/steering.cpp
@@ -254,17 +254,35 @@
   return Action;
 }
 
+SearchOutcome Steering::outcomeOf(const Search &Pending, TimePoint Now) const {
+  SearchOutcome Outcome;
+  Outcome.Services = Pending.Services;
+  Outcome.Unanswered = Pending.AwaitedAgents.size() +
+                       Pending.UnsureAgents.size() +
+                       Pending.OfferedAgents.size();
+  Outcome.Offers = Pending.Offers;
+  Outcome.KnowsAllAgents = knowsAllAgents(Now);
+  Outcome.HistoryComplete = Config_.history().isComplete(Now);
+  Outcome.Widened = Pending.Widened;
+  Outcome.KnownAsOf = Agents_.knownAsOf();
+  Outcome.ReportedEntry = Pending.ReportedEntry;
+  return Outcome;
+}
+
 SteerAction Steering::makeNotFound(const Search &Pending,
                                    const PacketHead &Head,
                                    TimePoint Now) const {
+  SteerAction Action = notFoundOrLost(Pending, Head, Now);
+  Action.Outcome = outcomeOf(Pending, Now);
+  return Action;
+}
+
+SteerAction Steering::notFoundOrLost(const Search &Pending,
+                                     const PacketHead &Head,
+                                     TimePoint Now) const {
   if (Pending.isDenied() && !Pending.Incomplete && knowsAllAgents(Now))
     return resetOpenFlow(Head);
-  SteerAction Action = drop(SteerReason::Lost);
-  Action.UnansweredQueries = Pending.AwaitedAgents.size() +
-                             Pending.UnsureAgents.size() +
-                             Pending.OfferedAgents.size();
-  Action.KnowsAllAgents = knowsAllAgents(Now);
-  return Action;
+  return drop(SteerReason::Lost);
 }
 
 std::vector<DelayedAction> Steering::conclude(Search &Pending, TimePoint Now) {
@@ -297,6 +315,7 @@
         {forward(SteerReason::Offered, *Target, ForwardingState::Mode::Search),
          Pending.HeldPackets.back()});
     Pending.OfferedAgents.push_back(Id);
+    ++Pending.Offers;
   }
   Pending.UnsureAgents.clear();
 }
@@ -322,6 +341,8 @@
   }
   if (!Pending || std::erase(Pending->AwaitedAgents, Sender->Id) == 0)
     return Actions;
+  Pending->ReportedEntry =
+      std::max(Pending->ReportedEntry, Message.NewestEntry);
   // The flow may be at an agent that this balancer has not heard of.
   if (Message.NewestEntry > Agents_.knownAsOf())
     Pending->Incomplete = true;
--- a/src/opaque/steering.h
+++ b/src/opaque/steering.h
@@ -37,6 +37,19 @@
   return SteerReasonNames[static_cast<size_t>(R)];
 }
 
+/// What a search that found no holder knew at its end.
+struct SearchOutcome {
+  std::vector<std::string> Services; ///< Whose agents were queried.
+  size_t Unanswered = 0;             ///< Agents without an answer.
+  size_t Offers = 0;                 ///< Agents that were offered a packet.
+  bool KnowsAllAgents = false;
+  /// Whether the route history covers the greatest age of a flow.
+  bool HistoryComplete = false;
+  bool Widened = false;
+  int64_t KnownAsOf = 0;     ///< Directory::knownAsOf().
+  int64_t ReportedEntry = 0; ///< The greatest Located::NewestEntry.
+};
+
 /// The decision on one packet.
 struct SteerAction {
   enum class Kind : uint8_t {
@@ -53,10 +66,8 @@
   /// Reset: a sequence number that the caller accepts; 0 if the flow is new.
   uint32_t ResetSequence = 0;
   std::vector<const Agent *> QueriedAgents;
-  /// Lost: number of agents without an answer, and whether the balancer knew
-  /// all agents.
-  size_t UnansweredQueries = 0;
-  bool KnowsAllAgents = false;
+  /// NotFound and Lost: what the search knew at its end.
+  std::optional<SearchOutcome> Outcome = {};
 };
 
 /// The decision on a packet that was held or queued.
@@ -138,6 +149,9 @@
   /// The decision on the last packet of a search that found no holder.
   SteerAction makeNotFound(const Search &Pending, const PacketHead &Head,
                            TimePoint Now) const;
+  SteerAction notFoundOrLost(const Search &Pending, const PacketHead &Head,
+                             TimePoint Now) const;
+  SearchOutcome outcomeOf(const Search &Pending, TimePoint Now) const;
   FlowCache::Seconds seconds(TimePoint Now) const;
 
   const Configuration &Config_;
--- a/src/shell/http.cpp
+++ b/src/shell/http.cpp
@@ -1,6 +1,7 @@
 // HTTP over libevent.
 #include "shell/http.h"
 
+#include <algorithm>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -8,6 +9,7 @@
 #include <event2/keyvalq_struct.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <strings.h>
 #include <sys/socket.h>
 
 namespace dragonflystall {
@@ -29,6 +31,14 @@
   return Body;
 }
 
+std::vector<HttpHeader> headersOf(evhttp_request *Request) {
+  std::vector<HttpHeader> Headers;
+  const evkeyvalq *Received = evhttp_request_get_input_headers(Request);
+  for (const evkeyval *H = Received->tqh_first; H; H = H->next.tqe_next)
+    Headers.push_back({H->key, H->value});
+  return Headers;
+}
+
 void enableDeadPeerDetection(int Socket) {
   const auto Set = [Socket](int Level, int Option, auto Value) {
     ::setsockopt(Socket, Level, Option, &Value, sizeof(Value));
@@ -62,6 +72,15 @@
 
 } // namespace
 
+std::string HttpResponse::header(std::string_view Name) const {
+  const auto It =
+      std::find_if(Headers.begin(), Headers.end(), [&](const HttpHeader &H) {
+        return H.Name.size() == Name.size() &&
+               ::strncasecmp(H.Name.data(), Name.data(), Name.size()) == 0;
+      });
+  return It == Headers.end() ? std::string() : It->Value;
+}
+
 std::string pathOf(const std::string &Target) {
   return Target.substr(0, Target.find('?'));
 }
@@ -114,6 +133,7 @@
   HttpResponse Response;
   Response.Status = Status;
   Response.Body = bodyOf(evhttp_request_get_input_buffer(Request));
+  Response.Headers = headersOf(Request);
   OnDone(std::move(Response));
 }
 
@@ -183,8 +203,10 @@
 }
 
 void sendResponse(evhttp_request *Request, const HttpResponse &Response) {
-  evhttp_add_header(evhttp_request_get_output_headers(Request), "Content-Type",
-                    Response.ContentType.c_str());
+  evkeyvalq *Headers = evhttp_request_get_output_headers(Request);
+  evhttp_add_header(Headers, "Content-Type", Response.ContentType.c_str());
+  for (const HttpHeader &H : Response.Headers)
+    evhttp_add_header(Headers, H.Name.c_str(), H.Value.c_str());
   evbuffer *Body = evbuffer_new();
   evbuffer_add(Body, Response.Body.data(), Response.Body.size());
   evhttp_send_reply(Request, Response.Status, nullptr, Body);
--- a/src/shell/http.h
+++ b/src/shell/http.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <tl/expected.hpp>
+#include <vector>
 
 struct event_base;
 struct evhttp_request;
@@ -41,12 +42,21 @@
 
 constexpr std::string_view JsonContent = "application/json";
 
+struct HttpHeader {
+  std::string Name;
+  std::string Value;
+};
+
 struct HttpResponse {
   int Status = 0;
   std::string Body;
   std::string ContentType;
+  std::vector<HttpHeader> Headers = {}; ///< Besides the content type.
 
   bool succeeded() const { return Status / 100 == 2; }
+  /// The value of a header, whose name may be in any case; empty if there is
+  /// none.
+  std::string header(std::string_view Name) const;
 };
 
 inline HttpResponse jsonResponse(int Status, std::string Body) {
--- a/src/shell/http_test.cpp
+++ b/src/shell/http_test.cpp
@@ -121,7 +121,7 @@
 TEST_F(Http, ARequestIsAnswered) {
   HttpServer Server(Base.get(), [&](const HttpRequest &Request) {
     Received = Request;
-    return HttpResponse{201, "answer", "text/plain"};
+    return HttpResponse{201, "answer", "text/plain", {{"Some-Header", "7"}}};
   });
   ASSERT_TRUE(Server.listen(Local));
   HttpChannel Channel(Base.get(), Local);
@@ -131,6 +131,8 @@
     ASSERT_TRUE(Answer);
     EXPECT_EQ(Answer->Status, 201);
     EXPECT_EQ(Answer->Body, "answer");
+    EXPECT_EQ(Answer->header("some-header"), "7");
+    EXPECT_EQ(Answer->header("some"), "");
     ASSERT_TRUE(Received);
     EXPECT_EQ(Received->Method, HttpMethod::Put);
     EXPECT_EQ(pathOf(Received->Target), "/path");
