--- a/soak/store.cpp
+++ b/soak/store.cpp
@@ -133,7 +133,7 @@
 
 std::optional<HttpResponse>
 Store::changesFor(const platform::StoreCall &Call) const {
-  if (*Call.WatchFrom < OldestRevision_)
+  if (*Call.WatchFrom < OldestRevision_ || *Call.WatchFrom > Revision_)
     return emptyJsonResponse(HttpStatus::Gone);
   platform::Changes Changes;
   Changes.Revision = Revision_;
@@ -189,7 +189,10 @@
 void Store::reply(evhttp_request *Request, const HttpResponse &Response) {
   evhttp_connection_set_closecb(evhttp_request_get_connection(Request), nullptr,
                                 nullptr);
-  sendResponse(Request, Response);
+  HttpResponse Answer = Response;
+  Answer.Headers.push_back(
+      {std::string(platform::StoreEraHeader), std::to_string(Era_)});
+  sendResponse(Request, Answer);
 }
 
 void Store::setFaults(const StoreFaults &Faults) {
@@ -197,6 +200,21 @@
   tick(Shared_.now());
 }
 
+Store::Copy Store::copy() const { return {Kinds_, Revision_}; }
+
+void Store::restore(const Copy &Earlier) {
+  while (!PendingCalls_.empty())
+    // Closing the connection removes its call.
+    evhttp_connection_free(
+        evhttp_request_get_connection(PendingCalls_.front().Request));
+  ++Era_;
+  Kinds_ = Earlier.Kinds;
+  Revision_ = Earlier.Revision;
+  std::erase_if(History_, [&](const Event &Entry) {
+    return Entry.Change.Item.Revision > Revision_;
+  });
+}
+
 void Store::deleteHistory() {
   History_.clear();
   // The new revision refuses pending watches as well as later ones from earlier
--- a/soak/store.h
+++ b/soak/store.h
@@ -38,6 +38,12 @@
            const std::string &Content);
   void remove(platform::ObjectKind Kind, const std::string &Name);
   void setFaults(const StoreFaults &Faults);
+  /// What a copy of the store holds.
+  struct Copy;
+  Copy copy() const;
+  /// Comes back from a copy: what was written since is lost, and its revisions
+  /// are given out again in a new era. Pending calls are not answered.
+  void restore(const Copy &Earlier);
   /// Deletes the history: watches from earlier revisions are refused
   /// afterwards.
   void deleteHistory();
@@ -77,6 +83,7 @@
 
   node::Services &Shared_;
   evhttp *Http_;
+  int64_t Era_ = 1;
   std::map<std::string, Objects> Kinds_;
   std::vector<Event> History_;
   int64_t Revision_ = 1;
@@ -86,6 +93,11 @@
   StoreFaults Faults_;
 };
 
+struct Store::Copy {
+  std::map<std::string, Objects> Kinds;
+  int64_t Revision = 0;
+};
+
 } // namespace dragonflystall::soak
 
 #endif
--- a/src/opaque/opaquesimulation_test.h
+++ b/src/opaque/opaquesimulation_test.h
@@ -68,6 +68,8 @@
   bool Reset = false;
   TimePoint Opened{};
   TimePoint LastReceived{}; ///< By its upstream.
+  /// When packets reached other upstreams, since its own received the last one.
+  std::vector<TimePoint> Astray;
   /// The flow may be dropped: its route was dropped, or it was too old or idle
   /// for too long when its caller sent data.
   bool Expired = false;
@@ -415,11 +417,13 @@
       Server.Open.insert(Flow);
     if (!Server.Open.count(Flow)) {
       ++Server.UnheldPackets;
+      checkAstray(Host, Flow);
       PacketHead Back = Head;
       Back.Bounced = true;
       return gate(Host, Host.PacketGate->fromUpstream(Back, Now), Back);
     }
     Callers[Flow].LastReceived = Now;
+    Callers[Flow].Astray.clear();
     PacketHead Reply;
     Reply.Ack = true;
     const bool Fails = Server.FailsOfTen > 0 && Rng() % 10 < Server.FailsOfTen;
@@ -443,6 +447,22 @@
     if (IsHeld && !Callers[Flow].Expired)
       fail("balancer reset an open flow " + toString(Flow));
   }
+  /// Fails if for AstrayTime packets of an open flow reach only other
+  /// upstreams.
+  void checkAstray(const FakeHost &Host, const FlowId &Flow) {
+    const FakeHost *Holder = holder(Flow);
+    Caller &FlowState = Callers[Flow];
+    const auto IsSettled = [&](const FakeHost &H) {
+      return H.Running && Now - H.RunningSince > RestartTime;
+    };
+    if (!Holder || FlowState.Expired || !IsSettled(*Holder) || !IsSettled(Host))
+      return;
+    FlowState.Astray.push_back(Now);
+    if (FlowState.Astray.size() >= 3 &&
+        Now - FlowState.Astray.front() >= AstrayTime)
+      fail("packets of an open flow reach only other upstreams: " +
+           toString(Flow));
+  }
   void checkOpening(const FakeHost &Host, const FlowId &Flow) {
     const Route *Target = Host.Config.manifest().routeAt(Flow.Route);
     if (!Target || !Target->sendsTo(Host.LocalUpstream.Service))
@@ -529,6 +549,7 @@
 
   /// After this time, all balancers have heard from a restarted agent.
   static constexpr Duration RestartTime = 4s;
+  static constexpr Duration AstrayTime = 2s;
   /// A sequence number that callers have acknowledged; not 0, so that resets of
   /// open flows differ from those of new ones.
   static constexpr uint32_t AcknowledgedByCallers = 500;
--- a/src/opaque/weightedroutes_test.cpp
+++ b/src/opaque/weightedroutes_test.cpp
@@ -196,6 +196,36 @@
   EXPECT_FALSE(Sim.Callers[Flow].Reset);
 }
 
+// Guards against a FLOW fault of the days with a restored store: a balancer
+// that does not know the flow's service offered each packet of the flow to the
+// agents of another one, again and again.
+TEST_F(WeightedRoutes, AFlowThatNobodyCanFindIsNotOfferedAgainAndAgain) {
+  const FlowId Flow = Sim.open(*First, DeskRoute);
+  setServices({{"print", 1}});
+  Sim.HasPeerHistory = false;
+  Sim.FirstStart = false;
+  for (FakeHost &Host : Sim.Hosts)
+    Sim.startAgent(Host);
+  Sim.startBalancer(*Second);
+  Sim.run(4500ms);
+  for (uint32_t I = 0; I < 10; ++I) {
+    Sim.sendData(*Second, Flow, 100 + I);
+    Sim.run(400ms);
+  }
+}
+
+// Guards against a reset of an open flow by a balancer that has a newer
+// manifest than the peer whose history it takes over: the service that the
+// peer's manifest names and its own does not is in neither's history.
+TEST_F(WeightedRoutes, AServiceIsNotForgottenIfThePeerHasAnOlderManifest) {
+  const FlowId Flow = Sim.open(*First, DeskRoute);
+  Sim.FirstStart = false;
+  Sim.SharedManifest.Routes[DeskRoute].Services = {{"print", 1}};
+  ++Sim.SharedManifest.Version;
+  EXPECT_TRUE(isServedAfterRestart(Flow));
+  EXPECT_FALSE(Sim.Callers[Flow].Reset);
+}
+
 TEST_F(WeightedRoutes, APacketForAnotherAgentIsRefused) {
   const FlowId Flow = Sim.open(*First, DeskRoute);
   FakeHost &Holder = *Sim.holder(Flow);
