A watch does not continue in another era of the store

Callers saw: packets of open flows offered to another service's upstreams for seconds (FLOW), new routes late. Cause: after a restore the store gives its revisions out again. A watch from a revision of the era before is accepted as soon as the new era has reached that number, and skips what was written below it, with no 410.

Change: StoreRevision has the era in front of the number. Each answer's era is compared with that of what was read so far; another one begins a new list, and an answer of an earlier era is discarded. After a failed call the first watch is answered at once, so that its answer names the era before the process waits on it. One watcher that learns of an era restarts the others of its process.

Ruled out: a list after each failure (the agents' list is long); relying on peers' versions (what happened).

--- a/src/node/balancer.cpp
+++ b/src/node/balancer.cpp
@@ -46,10 +46,10 @@
                      },
                      [this] {
                        Agents_.listAll(ListedAgents_, Services_.now());
-                       Agents_.onListedAsOf(AgentWatcher_.revision());
+                       Agents_.onListedAsOf(AgentWatcher_.revision().Number);
                        Services_.log(LogClass::State, "agents-listed")
                            .number("count", ListedAgents_.size())
-                           .number("revision", AgentWatcher_.revision())
+                           .number("revision", AgentWatcher_.revision().Number)
                            .number("era", Health_.era());
                        ListedAgents_.clear();
                        AgentsKnown_ = true;
@@ -242,7 +242,7 @@
     Message.Number = PingNumber_;
     Message.Versions = configVersionsOf(config());
     if (!Agent->listed() && AgentWatcher_.listed())
-      Message.MissingAsOf = AgentWatcher_.revision();
+      Message.MissingAsOf = AgentWatcher_.revision().Number;
     Message.Http = Settings_.Peers;
     Message.NewestEntry = Agents_.newestEntry();
     const bool WasSuspect = Agents_.isSuspect(*Agent, Now - PingInterval);
--- a/src/node/configsource.cpp
+++ b/src/node/configsource.cpp
@@ -49,7 +49,8 @@
                ListedZones_.insert(O.Name);
            },
            [this] {
-             offerEvacuations({Evacuations_.revision(), ListedZones_}, "store");
+             offerEvacuations({Evacuations_.revision().Number, ListedZones_},
+                              "store");
            },
            [this](const platform::Changes &C) {
              for (const platform::Change &Event : C.Events)
--- a/src/node/objectwatcher.cpp
+++ b/src/node/objectwatcher.cpp
@@ -10,6 +10,8 @@
 /// Added to the wait of a watch call, at whose end the store answers at the
 /// latest.
 constexpr Duration WatchMargin = 3s;
+/// The wait of a watch whose answer is to name the store's era.
+constexpr Duration ProbeWait = 1ms;
 
 } // namespace
 
@@ -20,14 +22,15 @@
   Services_.log(LogClass::State, "store-back").text("kind", name(Kind));
 }
 
-void StoreHealth::onEra(platform::ObjectKind Kind, int64_t Era) {
-  if (Era == 0 || Era == Era_)
-    return;
+bool StoreHealth::onEra(platform::ObjectKind Kind, int64_t Era) {
+  if (Era <= Era_)
+    return Era == Era_;
   Services_.log(LogClass::State, "store-era")
       .text("kind", name(Kind))
       .number("era", Era)
       .number("before", Era_);
   Era_ = Era;
+  return true;
 }
 
 void StoreHealth::onFailure(platform::ObjectKind Kind, std::string_view Cause) {
@@ -58,15 +61,18 @@
       Channel_(Shared.Base.get(), Watching.Store), Watch_(Shared.Rng()) {}
 
 void ObjectWatcher::poll(TimePoint Now) {
+  if (Watch_.isOfAnotherEra(Health_.era()))
+    restart();
   const auto Due = Watch_.next(Now);
   if (!Due)
     return;
   if (Due->WatchFrom) {
+    const Duration Wait = Due->IsProbe ? ProbeWait : WatchWait_;
     Calls_.count(Kind_, "watch", WatchConsistency_);
-    Channel_.request(platform::watchCall(Kind_, *Due->WatchFrom, WatchWait_,
-                                         WatchConsistency_),
-                     WatchWait_ + WatchMargin,
-                     [this](const Answer &Result) { onWatchAnswer(Result); });
+    Channel_.request(
+        platform::watchCall(Kind_, *Due->WatchFrom, Wait, WatchConsistency_),
+        Wait + WatchMargin,
+        [this](const Answer &Result) { onWatchAnswer(Result); });
     return;
   }
   Calls_.count(Kind_, "list", ListConsistency_);
@@ -86,10 +92,24 @@
   Watch_.onFailure(Services_.now());
 }
 
+bool ObjectWatcher::isOfSameEra(const HttpResponse &Response) {
+  const int64_t Era = platform::storeEraOf(Response);
+  if (!Health_.onEra(Kind_, Era)) {
+    onFailure("the answer is of an earlier era of the store");
+    return false;
+  }
+  if (!Watch_.isOfAnotherEra(Era))
+    return true;
+  ListConsistency_ = platform::Consistency::Linearizable;
+  Watch_.restart();
+  return false;
+}
+
 void ObjectWatcher::onListAnswer(const Answer &Result) {
   if (!Result)
     return onFailure(Result.error().Text);
-  Health_.onEra(Kind_, platform::storeEraOf(*Result));
+  if (!isOfSameEra(*Result))
+    return;
   if (Result->Status != HttpStatus::Ok)
     return onFailure(fmt::format("HTTP status {}", Result->Status));
   const auto Page = platform::decodePage(Result->Body);
@@ -99,7 +119,8 @@
   const bool First = Watch_.isAtFirstPage();
   const std::string Last =
       Page->Objects.empty() ? std::string() : Page->Objects.back().Name;
-  Watch_.onPage(Page->Revision, Page->Truncated && !Last.empty(), Last);
+  Watch_.onPage({Health_.era(), Page->Revision},
+                Page->Truncated && !Last.empty(), Last);
   Callbacks_.OnPage(*Page, First);
   if (Watch_.listed()) {
     ListConsistency_ = platform::Consistency::Serializable;
@@ -112,11 +133,12 @@
 void ObjectWatcher::onWatchAnswer(const Answer &Result) {
   if (!Result)
     return onFailure(Result.error().Text);
-  Health_.onEra(Kind_, platform::storeEraOf(*Result));
+  if (!isOfSameEra(*Result))
+    return;
   if (Result->Status == HttpStatus::Gone) {
     Services_.log(LogClass::State, "watch-history-gone")
         .text("kind", name(Kind_))
-        .number("revision", Watch_.revision())
+        .number("revision", Watch_.revision().Number)
         .number("era", Health_.era());
     ListConsistency_ = platform::Consistency::Linearizable;
     Watch_.restart();
@@ -128,7 +150,7 @@
   if (!Changes)
     return onFailure("malformed changes in the store's answer");
   Health_.onAnswer(Kind_);
-  Watch_.onEvents(Changes->Revision, Services_.now());
+  Watch_.onEvents({Health_.era(), Changes->Revision}, Services_.now());
   Callbacks_.OnChanges(*Changes);
 }
 
--- a/src/node/objectwatcher.h
+++ b/src/node/objectwatcher.h
@@ -17,8 +17,9 @@
   explicit StoreHealth(Services &Shared) : Services_(Shared) {}
 
   void onAnswer(platform::ObjectKind Kind);
-  /// Call with the era of each answer, whatever its status.
-  void onEra(platform::ObjectKind Kind, int64_t Era);
+  /// Call with the era of each answer, whatever its status. Returns false if
+  /// the answer is outdated, since another one was from a later era.
+  bool onEra(platform::ObjectKind Kind, int64_t Era);
   void onFailure(platform::ObjectKind Kind, std::string_view Cause);
   bool up() const { return Up_; }
   int64_t era() const { return Era_; }
@@ -26,7 +27,7 @@
 private:
   Services &Services_;
   bool Up_ = true;
-  int64_t Era_ = 0; ///< Of the last answer that named one.
+  int64_t Era_ = 0; ///< The latest one that an answer has named.
 };
 
 /// Counts calls to the store by kind of object, call and consistency.
@@ -77,12 +78,15 @@
   /// Abandons a watch that has missed a change, and lists again.
   void restart();
   bool listed() const { return Watch_.listed(); }
-  int64_t revision() const { return Watch_.revision(); }
+  opaque::StoreRevision revision() const { return Watch_.revision(); }
 
 private:
   using Answer = tl::expected<HttpResponse, HttpFailure>;
   void onListAnswer(const Answer &Result);
   void onWatchAnswer(const Answer &Result);
+  /// Whether the answer continues what was read so far. If not, arranges for
+  /// another call.
+  bool isOfSameEra(const HttpResponse &Response);
   void onFailure(std::string_view Cause);
 
   Services &Services_;
--- a/src/opaque/opaqueparts_test.cpp
+++ b/src/opaque/opaqueparts_test.cpp
@@ -209,19 +209,55 @@
   TimePoint Now{1s};
   EXPECT_FALSE(Watch.next(Now)->WatchFrom);
   EXPECT_FALSE(Watch.next(Now));
-  Watch.onPage(10, true, "m");
+  Watch.onPage({1, 10}, true, "m");
   EXPECT_FALSE(Watch.listed());
   EXPECT_EQ(Watch.next(Now)->AfterName, "m");
-  Watch.onPage(12, false, "z");
+  Watch.onPage({1, 12}, false, "z");
   // From the revision of the first page: changes between the pages arrive as
   // events.
   EXPECT_EQ(Watch.next(Now)->WatchFrom, 10);
-  Watch.onEvents(20, Now);
+  Watch.onEvents({1, 20}, Now);
   EXPECT_EQ(Watch.next(Now)->WatchFrom, 20);
   Watch.restart();
   EXPECT_FALSE(Watch.next(Now)->WatchFrom);
 }
 
+// Guards against a list that is put together from pages of before and after the
+// store came back from a copy, and a watch that goes on from a revision of
+// before.
+TEST(StoreWatch, DoesNotContinueInAnotherEra) {
+  StoreWatch Watch(1);
+  TimePoint Now{1s};
+  EXPECT_FALSE(Watch.isOfAnotherEra(2));
+  EXPECT_TRUE(Watch.next(Now));
+  Watch.onPage({1, 10}, true, "m");
+  EXPECT_FALSE(Watch.isOfAnotherEra(1));
+  EXPECT_TRUE(Watch.isOfAnotherEra(2));
+  EXPECT_TRUE(Watch.next(Now));
+  Watch.onPage({1, 10}, false, "z");
+  EXPECT_TRUE(Watch.isOfAnotherEra(2));
+  Watch.restart();
+  EXPECT_FALSE(Watch.isOfAnotherEra(2));
+}
+
+// The store may have come back from a copy while it did not answer.
+TEST(StoreWatch, AsksForTheEraAfterAFailure) {
+  StoreWatch Watch(1);
+  TimePoint Now{1s};
+  Watch.setPause(2s);
+  EXPECT_TRUE(Watch.next(Now));
+  Watch.onPage({1, 10}, false, "z");
+  EXPECT_FALSE(Watch.next(Now)->IsProbe);
+  Watch.onFailure(Now);
+  Now += 1s;
+  EXPECT_TRUE(Watch.next(Now)->IsProbe);
+  Watch.onEvents({1, 10}, Now);
+  // Without a pause, since the probe has not waited for events.
+  const auto Next = Watch.next(Now);
+  ASSERT_TRUE(Next);
+  EXPECT_FALSE(Next->IsProbe);
+}
+
 TEST(StoreWatch, BacksOffWhileTheStoreIsUnavailable) {
   StoreWatch Watch(1);
   TimePoint Now{1s};
--- a/src/opaque/storereaders_test.cpp
+++ b/src/opaque/storereaders_test.cpp
@@ -73,13 +73,13 @@
   Watch.setPause(2s);
   TimePoint Now{100s};
   Watch.next(Now);
-  Watch.onPage(1, false, "");
+  Watch.onPage({1, 1}, false, "");
   int Calls = 0;
   for (int Change = 0; Change < 100; ++Change, Now += 100ms) {
     if (!Watch.next(Now))
       continue;
     ++Calls;
-    Watch.onEvents(2 + Change, Now);
+    Watch.onEvents({1, 2 + Change}, Now);
   }
   EXPECT_EQ(Calls, 5);
   Watch.restart();
--- a/src/opaque/storewatch.h
+++ b/src/opaque/storewatch.h
@@ -1,14 +1,17 @@
 // Follows one kind of object in the store: lists all objects, then watches for
-// changes from there, and lists again if the store no longer has the history.
+// changes from there, and lists again if the store no longer has the history or
+// has come back from an older copy of itself.
 // The class decides which call is due; its user makes the call.
 #ifndef DRAGONFLYSTALL_SRC_OPAQUE_STOREWATCH_H
 #define DRAGONFLYSTALL_SRC_OPAQUE_STOREWATCH_H
 
 #include "dragonflystall/clock.h"
+#include "opaque/storerevision.h"
 
 #include <algorithm>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace dragonflystall::opaque {
 
@@ -54,6 +57,9 @@
     /// revision.
     std::optional<int64_t> WatchFrom;
     std::string AfterName;
+    /// The watch should be answered at once, whether or not there are events:
+    /// the answer names the store's era.
+    bool IsProbe = false;
   };
 
   explicit StoreWatch(uint64_t Seed) : Retry_(Seed) {}
@@ -67,27 +73,40 @@
     if (CallInProgress_ || !Retry_.hasElapsed(Now) || Now < NextWatch_)
       return std::nullopt;
     CallInProgress_ = true;
-    return Call{Revision_, ListAfter_};
+    Call Due{{}, ListAfter_, IsEraUncertain_};
+    if (Revision_)
+      Due.WatchFrom = Revision_->Number;
+    return Due;
   }
 
+  /// Whether what was read so far belongs to another era of the store than an
+  /// answer does. If so, call restart() in place of onPage() or onEvents().
+  bool isOfAnotherEra(int64_t Era) const {
+    if (Revision_)
+      return Revision_->Era != Era;
+    return FirstPage_.isSet() && FirstPage_.Era != Era;
+  }
   /// A page of a list was read. Truncated: more names follow LastName.
-  void onPage(int64_t Revision, bool Truncated, const std::string &LastName) {
+  void onPage(StoreRevision Revision, bool Truncated,
+              const std::string &LastName) {
     CallInProgress_ = false;
+    IsEraUncertain_ = false;
     Retry_.onSuccess();
     // Watch from the revision of the first page, so that no change between two
     // pages is missed.
-    if (FirstPage_ == 0)
+    if (!FirstPage_.isSet())
       FirstPage_ = Revision;
     ListAfter_ = Truncated ? LastName : "";
     if (Truncated)
       return;
     Revision_ = FirstPage_;
-    FirstPage_ = 0;
+    FirstPage_ = {};
   }
-  void onEvents(int64_t Revision, TimePoint Now) {
+  void onEvents(StoreRevision Revision, TimePoint Now) {
     CallInProgress_ = false;
+    if (!std::exchange(IsEraUncertain_, false))
+      NextWatch_ = Now + Pause_;
     Retry_.onSuccess();
-    NextWatch_ = Now + Pause_;
     Revision_ = std::max(Revision, *Revision_);
   }
   /// Starts over with a list, if the store no longer has the history or the
@@ -97,27 +116,32 @@
     Revision_.reset();
     NextWatch_ = {};
     ListAfter_.clear();
-    FirstPage_ = 0;
+    FirstPage_ = {};
   }
   void onFailure(TimePoint Now) {
     CallInProgress_ = false;
+    // While it did not answer, the store may have come back from a copy, and
+    // may have reached the watch's revision again.
+    IsEraUncertain_ = true;
     Retry_.onFailure(Now);
   }
 
   /// Whether the whole list was read and changes are watched.
   bool listed() const { return Revision_.has_value(); }
   /// Whether the next onPage() starts a new list.
-  bool isAtFirstPage() const { return FirstPage_ == 0; }
-  int64_t revision() const { return Revision_.value_or(0); }
+  bool isAtFirstPage() const { return !FirstPage_.isSet(); }
+  StoreRevision revision() const { return Revision_.value_or(StoreRevision{}); }
 
 private:
   Backoff Retry_;
   bool CallInProgress_ = false;
   Duration Pause_{};
   TimePoint NextWatch_{};
-  std::optional<int64_t> Revision_;
+  std::optional<StoreRevision> Revision_;
   std::string ListAfter_;
-  int64_t FirstPage_ = 0;
+  StoreRevision FirstPage_;
+  /// The last call has failed; the answer to the next one names the era.
+  bool IsEraUncertain_ = false;
 };
 
 } // namespace dragonflystall::opaque
