Evacuations are compared by era and revision

Operators saw: an evacuation that was acknowledged after the store came back from a copy was not in force, for as long as the store's revisions were below those of before. Cause: evacuations were taken only at a greater revision, from the store as well as from peers, and revisions go back with a restore.

Change: the revision of evacuations carries its era, in the process, in pings and pongs (a field at the end) and in the state for peers. Messages of programs without it decode to era 0.

--- a/src/node/configsource.cpp
+++ b/src/node/configsource.cpp
@@ -49,8 +49,7 @@
                ListedZones_.insert(O.Name);
            },
            [this] {
-             offerEvacuations({Evacuations_.revision().Number, ListedZones_},
-                              "store");
+             offerEvacuations({Evacuations_.revision(), ListedZones_}, "store");
            },
            [this](const platform::Changes &C) {
              for (const platform::Change &Event : C.Events)
@@ -58,7 +57,7 @@
                  ListedZones_.erase(Event.Item.Name);
                else
                  ListedZones_.insert(Event.Item.Name);
-             offerEvacuations({C.Revision, ListedZones_}, "store");
+             offerEvacuations({Evacuations_.revision(), ListedZones_}, "store");
            }}),
       StartedAt_(Shared.now()) {
   if (Sources_.FirstStart)
@@ -138,7 +137,8 @@
       .text("from", From)
       .text("zones",
             fmt::format("{}", fmt::join(Config_.evacuations().Zones, ",")))
-      .number("revision", Config_.evacuations().Revision);
+      .number("revision", Config_.evacuations().Revision.Number)
+      .number("era", Config_.evacuations().Revision.Era);
   Callbacks_.OnEvacuations();
 }
 
@@ -176,12 +176,12 @@
   PeerAnswered_ = true;
   const bool WasBehind = BehindSince_.has_value();
   BehindSince_.reset();
-  const int64_t Revision = Config_.evacuations().Revision;
+  const opaque::StoreRevision Revision = Config_.evacuations().Revision;
   const bool NewManifest = !State.ManifestContent.empty() &&
                            offerManifest(State.ManifestContent, Source::Peer);
   Config_.history().merge(State.History, Services_.now());
   logHistory(State);
-  if (State.Evacuations.Revision > 0)
+  if (State.Evacuations.Revision.isSet())
     offerEvacuations(State.Evacuations, "peer");
   if (Callbacks_.OnAgents)
     Callbacks_.OnAgents(State.Agents);
--- a/src/opaque/control.cpp
+++ b/src/opaque/control.cpp
@@ -21,8 +21,8 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
 }
 Json toJson(const ConfigVersions &Versions) {
-  return {Versions.ManifestVersion, Versions.EvacuationRevision,
-          Versions.EvacuatedZones};
+  return {Versions.ManifestVersion, Versions.EvacuationRevision.Number,
+          Versions.EvacuatedZones, Versions.EvacuationRevision.Era};
 }
 Json toJson(const AgentEntry &Entry) {
   return {Entry.Name, Entry.Service, Entry.Zone, toJson(Entry.Packets),
@@ -98,8 +98,11 @@
     Reader Fields(next());
     ConfigVersions Versions;
     Versions.ManifestVersion = Fields.number<int64_t>();
-    Versions.EvacuationRevision = Fields.number<int64_t>();
+    Versions.EvacuationRevision.Number = Fields.number<int64_t>();
     Versions.EvacuatedZones = Fields.number<uint32_t>();
+    // Processes of earlier versions know no eras.
+    if (!Fields.atEnd())
+      Versions.EvacuationRevision.Era = Fields.number<int64_t>();
     return Versions;
   }
   AgentEntry entry() {
--- a/src/opaque/control.h
+++ b/src/opaque/control.h
@@ -18,7 +18,7 @@
 /// which of the two has the older configuration.
 struct ConfigVersions {
   int64_t ManifestVersion = 0;
-  int64_t EvacuationRevision = 0;
+  StoreRevision EvacuationRevision;
   /// Hash of the evacuated zones, since the revision alone changes all the
   /// time.
   uint32_t EvacuatedZones = 0;
--- a/src/opaque/manifest.h
+++ b/src/opaque/manifest.h
@@ -6,6 +6,7 @@
 
 #include "opaque/route.h"
 #include "opaque/routehistory.h"
+#include "opaque/storerevision.h"
 
 #include <map>
 #include <set>
@@ -32,7 +33,7 @@
 
 /// Evacuated availability zones as of a revision of the store.
 struct Evacuations {
-  int64_t Revision = 0;
+  StoreRevision Revision;
   std::set<std::string> Zones;
 };
 
--- a/src/opaque/opaque_test.cpp
+++ b/src/opaque/opaque_test.cpp
@@ -158,7 +158,7 @@
 
 TEST_F(Opaque, NoFlowOpensInAnEvacuatedZone) {
   for (FakeHost &Host : Sim.Hosts) {
-    Host.Config.offer(Evacuations{5, {"zone-0", "zone-1", "zone-2"}});
+    Host.Config.offer(Evacuations{{1, 5}, {"zone-0", "zone-1", "zone-2"}});
     Host.UpstreamState->onEvacuationsChanged();
   }
   const FlowId Early = Sim.newFlow(DeskRoute);
@@ -447,10 +447,10 @@
 
 TEST_F(Opaque, AnUpstreamIsColdAfterAnEvacuationUntilItsHeartbeat) {
   FakeHost &Host = Sim.Hosts.front();
-  Host.Config.offer(Evacuations{5, {Host.Entry.Zone}});
+  Host.Config.offer(Evacuations{{1, 5}, {Host.Entry.Zone}});
   Host.UpstreamState->onEvacuationsChanged();
   EXPECT_EQ(Host.UpstreamState->intake(Sim.Now), Intake::Evacuated);
-  Host.Config.offer(Evacuations{6, {}});
+  Host.Config.offer(Evacuations{{1, 6}, {}});
   Host.UpstreamState->onEvacuationsChanged();
   EXPECT_EQ(Host.UpstreamState->intake(Sim.Now), Intake::Cold);
   Sim.beat(Host);
--- a/src/opaque/opaquerandom_test.cpp
+++ b/src/opaque/opaquerandom_test.cpp
@@ -78,7 +78,7 @@
   }
   void evacuate() {
     Evacuations Out;
-    Out.Revision = ++Revision_;
+    Out.Revision.Number = ++Revision_;
     if (Sim.Rng() % 2)
       Out.Zones.insert("zone-1");
     for (FakeHost &Host : Sim.Hosts) {
