An evacuation that the store lost stays until it is written again

Operators saw: an acknowledged evacuation ended when the store came back from a copy of before, until it was written again. Cause: the list of the new era replaced what was known; before the watches followed eras, only a comparison of revisions hid this.

Change: a zone that was evacuated in the era before and is not listed in the new one is held for 10 s, or until it is listed again; then its removal counts at once. Held zones go to peers with their age. A peer that still lives in the era before tells of evacuations that this process never saw.

Weighed: holding until an operator acts (a zone out of service for good if the evacuation had been taken back meanwhile); no hold (packets to a zone without power). An evacuation taken back in the lost seconds comes back until the operator's removal is written again: the safe side.

--- a/src/node/agent.cpp
+++ b/src/node/agent.cpp
@@ -120,7 +120,7 @@
       .text("upstream", Upstream_.id())
       .number("syn", Head.Syn)
       .number("manifest", config().manifest().Version)
-      .number("evacuations", config().evacuations().Revision.Number);
+      .number("evacuations", config().evacuations().revision().Number);
 }
 
 void Agent::onUpstreamPacket(std::string_view Bytes) {
--- a/src/node/configsource.cpp
+++ b/src/node/configsource.cpp
@@ -67,6 +67,8 @@
 void ConfigSource::poll(TimePoint Now) {
   Manifests_.poll(Now);
   Evacuations_.poll(Now);
+  if (Config_.evacuations().expire(Now))
+    onEvacuationsChanged("hold");
   if (isSeedFetchDue(Now) && Now >= NextFetch_)
     fetch(Sources_.Seeds[NextSeed_++ % Sources_.Seeds.size()], Now);
 }
@@ -128,17 +130,20 @@
   return true;
 }
 
-void ConfigSource::offerEvacuations(opaque::Evacuations Newer,
+void ConfigSource::offerEvacuations(const opaque::Evacuations &Newer,
                                     std::string_view From) {
   EvacuationsKnown_ = true;
-  if (!Config_.offer(std::move(Newer)))
-    return;
+  if (Config_.evacuations().offer(Newer, Services_.now()))
+    onEvacuationsChanged(From);
+}
+
+void ConfigSource::onEvacuationsChanged(std::string_view From) {
   Services_.log(LogClass::State, "evacuations")
       .text("from", From)
       .text("zones",
-            fmt::format("{}", fmt::join(Config_.evacuations().Zones, ",")))
-      .number("revision", Config_.evacuations().Revision.Number)
-      .number("era", Config_.evacuations().Revision.Era);
+            fmt::format("{}", fmt::join(Config_.evacuations().zones(), ",")))
+      .number("revision", Config_.evacuations().revision().Number)
+      .number("era", Config_.evacuations().revision().Era);
   Callbacks_.OnEvacuations();
 }
 
@@ -176,7 +181,7 @@
   PeerAnswered_ = true;
   const bool WasBehind = BehindSince_.has_value();
   BehindSince_.reset();
-  const opaque::StoreRevision Revision = Config_.evacuations().Revision;
+  const opaque::StoreRevision Revision = Config_.evacuations().revision();
   const bool NewManifest = !State.ManifestContent.empty() &&
                            offerManifest(State.ManifestContent, Source::Peer);
   Config_.history().merge(State.History, Services_.now());
@@ -189,7 +194,7 @@
   // had. They have stopped working: list and watch again.
   if (WasBehind && NewManifest && Manifests_.listed())
     Manifests_.restart();
-  if (WasBehind && Config_.evacuations().Revision > Revision &&
+  if (WasBehind && Config_.evacuations().revision() > Revision &&
       Evacuations_.listed())
     Evacuations_.restart();
 }
--- a/src/node/configsource.h
+++ b/src/node/configsource.h
@@ -59,7 +59,10 @@
 
   void onManifests(const std::vector<platform::Object> &Objects, Source From);
   bool offerManifest(const std::string &Content, Source From);
-  void offerEvacuations(opaque::Evacuations Newer, std::string_view From);
+  void offerEvacuations(const opaque::Evacuations &Newer,
+                        std::string_view From);
+  /// From: the source of the change, for the log.
+  void onEvacuationsChanged(std::string_view From);
   void fetch(Endpoint Peer, TimePoint Now);
   void onPeerState(const platform::PeerState &State);
   /// Logs the route history after that of a peer was merged.
--- a/src/node/process.cpp
+++ b/src/node/process.cpp
@@ -170,9 +170,10 @@
   if (Path == "/state")
     return jsonResponse(
         HttpStatus::Ok,
-        platform::encodePeerState({Config_.manifestContent(),
-                                   config().evacuations(), agentsForPeers(),
-                                   config().history().state(Services_.now())}));
+        platform::encodePeerState(
+            {Config_.manifestContent(),
+             config().evacuations().state(Services_.now()), agentsForPeers(),
+             config().history().state(Services_.now())}));
   if (Path == "/metrics") {
     ManifestVersion_.set(config().manifest().Version);
     StoreUp_.set(Health_.up());
--- a/src/opaque/control.cpp
+++ b/src/opaque/control.cpp
@@ -182,8 +182,8 @@
 ConfigVersions configVersionsOf(const Configuration &Config) {
   ConfigVersions Versions;
   Versions.ManifestVersion = Config.manifest().Version;
-  Versions.EvacuationRevision = Config.evacuations().Revision;
-  for (const std::string &Zone : Config.evacuations().Zones)
+  Versions.EvacuationRevision = Config.evacuations().revision();
+  for (const std::string &Zone : Config.evacuations().zones())
     Versions.EvacuatedZones ^= static_cast<uint32_t>(agentId(Zone));
   return Versions;
 }
--- a/src/opaque/manifest.h
+++ b/src/opaque/manifest.h
@@ -4,12 +4,11 @@
 #ifndef DRAGONFLYSTALL_SRC_OPAQUE_MANIFEST_H
 #define DRAGONFLYSTALL_SRC_OPAQUE_MANIFEST_H
 
+#include "opaque/evacuatedzones.h"
 #include "opaque/route.h"
 #include "opaque/routehistory.h"
-#include "opaque/storerevision.h"
 
 #include <map>
-#include <set>
 
 namespace dragonflystall::opaque {
 
@@ -31,12 +30,6 @@
   }
 };
 
-/// Evacuated availability zones as of a revision of the store.
-struct Evacuations {
-  StoreRevision Revision;
-  std::set<std::string> Zones;
-};
-
 /// Whether a process has seen every version between its manifest and a newer
 /// one.
 enum class Continuity : uint8_t {
@@ -44,8 +37,8 @@
   Gap,      ///< A list or a peer's state: versions may have been skipped.
 };
 
-/// Invariant: the version of either part never decreases while the process
-/// runs.
+/// Invariant: the manifest's version and the revision of the evacuations never
+/// decrease while the process runs.
 class Configuration {
 public:
   explicit Configuration(Duration MaxFlowAge = RouteHistory::DefaultMaxFlowAge)
@@ -53,9 +46,10 @@
 
   const Manifest &manifest() const { return Manifest_; }
   bool hasManifest() const { return Manifest_.Version > 0; }
-  const Evacuations &evacuations() const { return Evacuations_; }
+  const EvacuatedZones &evacuations() const { return Evacuations_; }
+  EvacuatedZones &evacuations() { return Evacuations_; }
   bool isEvacuated(const std::string &Zone) const {
-    return Evacuations_.Zones.count(Zone) > 0;
+    return Evacuations_.contains(Zone);
   }
 
   const RouteHistory &history() const { return History_; }
@@ -71,19 +65,10 @@
     Manifest_ = std::move(Newer);
     return true;
   }
-  /// Takes the evacuations if they are newer; returns whether the zones
-  /// changed.
-  bool offer(Evacuations Newer) {
-    if (Newer.Revision <= Evacuations_.Revision)
-      return false;
-    const bool Changed = Newer.Zones != Evacuations_.Zones;
-    Evacuations_ = std::move(Newer);
-    return Changed;
-  }
 
 private:
   Manifest Manifest_;
-  Evacuations Evacuations_;
+  EvacuatedZones Evacuations_;
   RouteHistory History_;
 };
 
--- a/src/opaque/opaque_test.cpp
+++ b/src/opaque/opaque_test.cpp
@@ -158,7 +158,8 @@
 
 TEST_F(Opaque, NoFlowOpensInAnEvacuatedZone) {
   for (FakeHost &Host : Sim.Hosts) {
-    Host.Config.offer(Evacuations{{1, 5}, {"zone-0", "zone-1", "zone-2"}});
+    Host.Config.evacuations().offer({{1, 5}, {"zone-0", "zone-1", "zone-2"}},
+                                    Sim.Now);
     Host.UpstreamState->onEvacuationsChanged();
   }
   const FlowId Early = Sim.newFlow(DeskRoute);
@@ -447,10 +448,10 @@
 
 TEST_F(Opaque, AnUpstreamIsColdAfterAnEvacuationUntilItsHeartbeat) {
   FakeHost &Host = Sim.Hosts.front();
-  Host.Config.offer(Evacuations{{1, 5}, {Host.Entry.Zone}});
+  Host.Config.evacuations().offer({{1, 5}, {Host.Entry.Zone}}, Sim.Now);
   Host.UpstreamState->onEvacuationsChanged();
   EXPECT_EQ(Host.UpstreamState->intake(Sim.Now), Intake::Evacuated);
-  Host.Config.offer(Evacuations{{1, 6}, {}});
+  Host.Config.evacuations().offer({{1, 6}, {}}, Sim.Now);
   Host.UpstreamState->onEvacuationsChanged();
   EXPECT_EQ(Host.UpstreamState->intake(Sim.Now), Intake::Cold);
   Sim.beat(Host);
--- a/src/opaque/opaqueparts_test.cpp
+++ b/src/opaque/opaqueparts_test.cpp
@@ -50,8 +50,8 @@
   Newer.Version = 4;
   EXPECT_FALSE(Config.offer(Newer, Continuity::Unbroken, Now));
   EXPECT_EQ(Config.manifest().Version, 5);
-  EXPECT_TRUE(Config.offer(Evacuations{{1, 7}, {"a"}}));
-  EXPECT_FALSE(Config.offer(Evacuations{{1, 6}, {}}));
+  EXPECT_TRUE(Config.evacuations().offer({{1, 7}, {"a"}}, Now));
+  EXPECT_FALSE(Config.evacuations().offer({{1, 6}, {}}, Now));
   EXPECT_TRUE(Config.isEvacuated("a"));
 }
 
--- a/src/opaque/opaquerandom_test.cpp
+++ b/src/opaque/opaquerandom_test.cpp
@@ -82,7 +82,7 @@
     if (Sim.Rng() % 2)
       Out.Zones.insert("zone-1");
     for (FakeHost &Host : Sim.Hosts) {
-      Host.Config.offer(Out);
+      Host.Config.evacuations().offer(Out, Sim.Now);
       Host.UpstreamState->onEvacuationsChanged();
     }
   }
--- a/src/opaque/restoredstore_test.cpp
+++ b/src/opaque/restoredstore_test.cpp
@@ -37,6 +37,44 @@
   EXPECT_FALSE(Sim.Callers[Flow].Reset);
 }
 
+// Guards against an acknowledged evacuation that ends because the store has
+// lost it, and against one that never ends.
+TEST(RestoredEvacuations, AreHeldUntilTheyAreListedAgainOrForAWhile) {
+  TimePoint Now{100s};
+  EvacuatedZones Zones;
+  EXPECT_TRUE(Zones.offer({{1, 50}, {"a", "b"}}, Now));
+  EXPECT_FALSE(Zones.offer({{2, 20}, {}}, Now));
+  Now += 3s;
+  // Listed again, then taken back by the operator.
+  EXPECT_FALSE(Zones.offer({{2, 21}, {"a"}}, Now));
+  EXPECT_TRUE(Zones.offer({{2, 22}, {}}, Now));
+  EXPECT_EQ(Zones.zones(), std::set<std::string>{"b"});
+  EXPECT_FALSE(Zones.expire(Now));
+  Now += EvacuatedZones::HoldTime;
+  EXPECT_TRUE(Zones.expire(Now));
+  EXPECT_FALSE(Zones.contains("b"));
+}
+
+// A process that has started after the restore learns of lost evacuations from
+// a peer, whether that peer has noticed the restore or not.
+TEST(RestoredEvacuations, AreTakenOverFromAPeer) {
+  TimePoint Now{100s};
+  EvacuatedZones Peer;
+  Peer.offer({{1, 50}, {"a"}}, Now);
+  EvacuatedZones First;
+  First.offer({{2, 20}, {}}, Now);
+  EXPECT_TRUE(First.offer(Peer.state(Now), Now));
+  EXPECT_TRUE(First.contains("a"));
+  EXPECT_EQ(First.revision(), (StoreRevision{2, 20}));
+  Peer.offer({{2, 20}, {}}, Now);
+  Now += 4s;
+  EvacuatedZones Second;
+  EXPECT_TRUE(Second.offer(Peer.state(Now), Now));
+  EXPECT_TRUE(Second.contains("a"));
+  Now += EvacuatedZones::HoldTime - 3s;
+  EXPECT_TRUE(Second.expire(Now));
+}
+
 // Guards against an entry that stays lost: the list that lacks it has a lower
 // revision than the entry had before the restore.
 TEST_F(RestoredStore, AnEntryThatWasLostIsWrittenAgain) {
