Agents' entries are compared by era and revision

Callers saw: resets of open flows (FLOW) or, the other way round, dead flows that waited in silence. Cause: a balancer took its list of agents as complete if it had ever seen a revision as great as the newest entry that agents report. After a restore both numbers are of different eras: an agent listed at a lower revision counted as known, and agents reported revisions that no list reached.

Change: Directory, Ping and Located have the era with each revision of an entry (fields at the end of the messages; without them, era 0). The first list of a new era counts like the first of a process: entries may be lost, so that no flow is reset until a peer has told its agents, or 5 s have passed. An entry is removed only with a revision of the store's present era.

SearchesEndThoughAgentsReportEntriesOfTheEraBefore and NoFlowIsResetWhileEntriesMayBeLost are new; the latter fails without the change in Steering::onAgentsListed (mutation, run).

--- a/bench/opaquebench.cpp
+++ b/bench/opaquebench.cpp
@@ -49,7 +49,7 @@
                    fmt::format("zone-{}", I % 3),
                    {0x0a000000 + I, 7000},
                    {0x0a000000 + I, 7001}},
-                  1, Now);
+                  {1, 1}, Now);
       Pong P;
       P.Name = Name;
       P.Service = "service";
@@ -57,7 +57,7 @@
       P.Slots = 4;
       Agents.onPong(P, Now);
     }
-    Core->onAgentsListed(Now);
+    Core->onAgentsListed({1, 1}, Now);
   }
 };
 
--- a/src/node/agent.cpp
+++ b/src/node/agent.cpp
@@ -254,8 +254,8 @@
     return;
   Balancers_.onPing(From, Now);
   NewestEntry_ = std::max(NewestEntry_, Ping->NewestEntry);
-  if (Ping->MissingAsOf != 0)
-    Registration_.onMissing(Ping->MissingAsOf);
+  if (Ping->MissingAsOf.isSet())
+    Registration_.onMissing(Ping->MissingAsOf.Number);
   Config_.onPeerVersions(Ping->Versions, Ping->Http, Now);
   sendControl(From, pong(From, Ping->Number, Now));
 }
--- a/src/node/agent.h
+++ b/src/node/agent.h
@@ -61,7 +61,7 @@
   StoreCallCounter StoreCalls_;
   opaque::PingingBalancers Balancers_;
   /// The newest entry that a balancer has reported; see Ping::NewestEntry.
-  int64_t NewestEntry_ = 0;
+  opaque::StoreRevision NewestEntry_;
   opaque::Intake ReportedIntake_ = opaque::Intake::Unready;
   TimePoint NextHello_{};
   bool EntryRemoved_ = false;
--- a/src/node/balancer.cpp
+++ b/src/node/balancer.cpp
@@ -32,38 +32,40 @@
       Agents_(Initial.Zone, Services_.Rng()),
       Steering_(config(), Agents_, CachedFlows, Services_.now()),
       Reader_(Services_.now()), StoreCalls_(Services_),
-      AgentWatcher_(Services_, Health_,
-                    {Initial.Store, Initial.StoreHistory,
-                     platform::Consistency::Serializable},
-                    platform::ObjectKind::Agent,
-                    {[this](const platform::Page &P, bool First) {
-                       if (First)
-                         ListedAgents_.clear();
-                       for (const platform::Object &O : P.Objects)
-                         if (auto Entry = platform::decodeAgent(O))
-                           ListedAgents_.emplace_back(std::move(*Entry),
-                                                      O.Revision);
-                     },
-                     [this] {
-                       Agents_.listAll(ListedAgents_, Services_.now());
-                       Agents_.onListedAsOf(AgentWatcher_.revision().Number);
-                       Services_.log(LogClass::State, "agents-listed")
-                           .number("count", ListedAgents_.size())
-                           .number("revision", AgentWatcher_.revision().Number)
-                           .number("era", Health_.era());
-                       ListedAgents_.clear();
-                       AgentsKnown_ = true;
-                       Steering_.onAgentsListed(Services_.now());
-                       NextPing_ = {};
-                     },
-                     [this](const platform::Changes &C) {
-                       for (const platform::Change &Event : C.Events)
-                         if (Event.Removed)
-                           Agents_.unlist(Event.Item.Name);
-                         else
-                           onAgentObject(Event.Item);
-                       Agents_.onListedAsOf(C.Revision);
-                     }}),
+      AgentWatcher_(
+          Services_, Health_,
+          {Initial.Store, Initial.StoreHistory,
+           platform::Consistency::Serializable},
+          platform::ObjectKind::Agent,
+          {[this](const platform::Page &P, bool First) {
+             if (First)
+               ListedAgents_.clear();
+             for (const platform::Object &O : P.Objects)
+               if (auto Entry = platform::decodeAgent(O))
+                 ListedAgents_.push_back(
+                     {std::move(*Entry), {Health_.era(), O.Revision}});
+           },
+           [this] {
+             Agents_.listAll(ListedAgents_, Services_.now());
+             Agents_.onListedAsOf(AgentWatcher_.revision());
+             Services_.log(LogClass::State, "agents-listed")
+                 .number("count", ListedAgents_.size())
+                 .number("revision", AgentWatcher_.revision().Number)
+                 .number("era", Health_.era());
+             ListedAgents_.clear();
+             AgentsKnown_ = true;
+             Steering_.onAgentsListed(AgentWatcher_.revision(),
+                                      Services_.now());
+             NextPing_ = {};
+           },
+           [this](const platform::Changes &C) {
+             for (const platform::Change &Event : C.Events)
+               if (Event.Removed)
+                 Agents_.unlist(Event.Item.Name);
+               else
+                 onAgentObject(Event.Item);
+             Agents_.onListedAsOf(AgentWatcher_.revision());
+           }}),
       RemoveChannel_(Services_.Base.get(), Initial.Store),
       AgentsAlive_(Services_.Counts.gauge(
           {"dragonflystall_agents_alive", "Agents that answer pings.", ""})),
@@ -98,7 +100,7 @@
   }
   if (!Agents_.find(Entry->Name))
     NextPing_ = {};
-  Agents_.list(*Entry, Listed.Revision, Services_.now());
+  Agents_.list(*Entry, {Health_.era(), Listed.Revision}, Services_.now());
   Services_.log(LogClass::State, "agent-listed")
       .text("agent", Entry->Name)
       .text("service", Entry->Service)
@@ -183,8 +185,8 @@
         .number("all_known", Outcome->KnowsAllAgents)
         .number("history_complete", Outcome->HistoryComplete)
         .number("widened", Outcome->Widened)
-        .number("known_as_of", Outcome->KnownAsOf)
-        .number("reported_entry", Outcome->ReportedEntry);
+        .text("known_as_of", toString(Outcome->KnownAsOf))
+        .text("reported_entry", toString(Outcome->ReportedEntry));
   if (!Action.Target)
     return;
   Line.text("agent", Action.Target->Entry.Name)
@@ -242,7 +244,7 @@
     Message.Number = PingNumber_;
     Message.Versions = configVersionsOf(config());
     if (!Agent->listed() && AgentWatcher_.listed())
-      Message.MissingAsOf = AgentWatcher_.revision().Number;
+      Message.MissingAsOf = AgentWatcher_.revision();
     Message.Http = Settings_.Peers;
     Message.NewestEntry = Agents_.newestEntry();
     const bool WasSuspect = Agents_.isSuspect(*Agent, Now - PingInterval);
@@ -268,13 +270,17 @@
   // Any balancer may remove the entry; the random choice makes it unlikely that
   // several remove the same one at once.
   const auto &Entry = Dead[Services_.Rng() % Dead.size()]->Entry;
-  const int64_t Revision = Agents_.find(Entry.Name)->Revision;
+  const opaque::StoreRevision Revision = Agents_.find(Entry.Name)->Revision;
+  // In another era the number may belong to another entry of the agent.
+  if (Revision.Era != Health_.era())
+    return;
   Services_.log(LogClass::State, "agent-removed")
       .text("agent", Entry.Name)
-      .number("revision", Revision);
+      .number("revision", Revision.Number);
   StoreCalls_.count(platform::ObjectKind::Agent, "remove");
   RemoveChannel_.request(
-      platform::removeCall(platform::ObjectKind::Agent, Entry.Name, Revision),
+      platform::removeCall(platform::ObjectKind::Agent, Entry.Name,
+                           Revision.Number),
       RemoveTimeout,
       [this](const tl::expected<HttpResponse, HttpFailure> &Result) {
         if (!Result)
--- a/src/node/balancer.h
+++ b/src/node/balancer.h
@@ -54,7 +54,7 @@
   UdpSocket *AgentSocket_ = nullptr;
   /// Entries and their revisions, collected while the list is read page by
   /// page.
-  std::vector<std::pair<opaque::AgentEntry, int64_t>> ListedAgents_;
+  std::vector<opaque::ListedAgent> ListedAgents_;
   /// The store or a peer has provided a list of agents.
   bool AgentsKnown_ = false;
   uint64_t PingNumber_ = 0;
--- a/src/opaque/control.cpp
+++ b/src/opaque/control.cpp
@@ -29,10 +29,15 @@
           toJson(Entry.Control)};
 }
 Json toJson(const Ping &Message) {
-  return {Kind::Ping,          Message.Name,
-          Message.Number,      toJson(Message.Versions),
-          Message.MissingAsOf, toJson(Message.Http),
-          Message.NewestEntry};
+  return {Kind::Ping,
+          Message.Name,
+          Message.Number,
+          toJson(Message.Versions),
+          Message.MissingAsOf.Number,
+          toJson(Message.Http),
+          Message.NewestEntry.Number,
+          Message.MissingAsOf.Era,
+          Message.NewestEntry.Era};
 }
 Json toJson(const Pong &Message) {
   return {Kind::Pong,
@@ -58,7 +63,8 @@
           toJson(Message.Flow.Caller),
           toJson(Message.Flow.Route),
           Message.Verdict,
-          Message.NewestEntry};
+          Message.NewestEntry.Number,
+          Message.NewestEntry.Era};
 }
 Json toJson(const Hello &H) { return {Kind::Hello, toJson(H.Entry)}; }
 
@@ -126,11 +132,15 @@
   Message.Name = Fields.text();
   Message.Number = Fields.number<int64_t>();
   Message.Versions = Fields.versions();
-  Message.MissingAsOf = Fields.number<int64_t>();
+  Message.MissingAsOf.Number = Fields.number<int64_t>();
   Message.Http = Fields.endpoint();
-  // Balancers of earlier versions do not report it.
+  // Balancers of earlier versions do not report what follows.
   if (!Fields.atEnd())
-    Message.NewestEntry = Fields.number<int64_t>();
+    Message.NewestEntry.Number = Fields.number<int64_t>();
+  if (!Fields.atEnd()) {
+    Message.MissingAsOf.Era = Fields.number<int64_t>();
+    Message.NewestEntry.Era = Fields.number<int64_t>();
+  }
   return Message;
 }
 
@@ -171,9 +181,11 @@
   if (Verdict >= HoldingNames.size())
     throw Json::out_of_range::create(406, "unknown holding verdict", nullptr);
   Message.Verdict = static_cast<Holding>(Verdict);
-  // Agents of earlier versions do not report it.
+  // Agents of earlier versions do not report what follows.
+  if (!Fields.atEnd())
+    Message.NewestEntry.Number = Fields.number<int64_t>();
   if (!Fields.atEnd())
-    Message.NewestEntry = Fields.number<int64_t>();
+    Message.NewestEntry.Era = Fields.number<int64_t>();
   return Message;
 }
 
--- a/src/opaque/control.h
+++ b/src/opaque/control.h
@@ -47,10 +47,11 @@
   uint64_t Number = 0;
   ConfigVersions Versions;
   /// The store revision of a list of agents in which the balancer found no
-  /// entry of the agent; 0 if the agent is listed or the list is not known.
-  int64_t MissingAsOf = 0;
+  /// entry of the agent; not set if the agent is listed or the list is not
+  /// known.
+  StoreRevision MissingAsOf;
   /// The revision of the newest entry of an agent that the balancer knows.
-  int64_t NewestEntry = 0;
+  StoreRevision NewestEntry = {};
   /// The balancer's HTTP address for peers.
   Endpoint Http;
 };
@@ -119,7 +120,7 @@
   Holding Verdict = Holding::Unsure;
   /// The revision of the newest entry of an agent that any balancer has
   /// reported. A balancer that knows only older ones may not know the holder.
-  int64_t NewestEntry = 0;
+  StoreRevision NewestEntry = {};
 };
 
 /// Agent to a seed balancer, while the agent can't be listed in the store.
--- a/src/opaque/deadflows_test.cpp
+++ b/src/opaque/deadflows_test.cpp
@@ -119,14 +119,14 @@
     Host.LocalUpstream.Draining = true;
   Sim.run(1s);
   FakeHost &Added = Sim.addHost("desk");
-  First->Agents->list(Added.Entry, 9, Sim.Now);
+  First->Agents->list(Added.Entry, {1, 9}, Sim.Now);
   Sim.run(1s);
   const FlowId Flow = Sim.open(*First, DeskRoute);
   ASSERT_EQ(&holderOf(Flow), &Added);
   Sim.sendData(*Second, Flow, 11);
   Sim.run(700ms);
   EXPECT_FALSE(Sim.Callers[Flow].Reset);
-  Second->Agents->list(Added.Entry, 9, Sim.Now);
+  Second->Agents->list(Added.Entry, {1, 9}, Sim.Now);
   Sim.sendData(*Second, Flow, 11);
   Sim.run(50ms);
   EXPECT_TRUE(Sim.Callers[Flow].Answered);
@@ -137,12 +137,12 @@
 TEST_F(Opaque, ARemovedEntryDoesNotKeepABalancerFromResets) {
   const FlowId Flow = Sim.open(*First, DeskRoute);
   for (FakeHost &Host : Sim.Hosts)
-    Host.NewestEntry = 9;
+    Host.NewestEntry = {1, 9};
   Sim.restartUpstream(holderOf(Flow));
   Sim.sendData(*Second, Flow, 11);
   Sim.run(50ms);
   EXPECT_FALSE(Sim.Callers[Flow].Reset);
-  Second->Agents->onListedAsOf(9);
+  Second->Agents->onListedAsOf({1, 9});
   Sim.sendData(*Second, Flow, 11);
   Sim.run(50ms);
   EXPECT_TRUE(Sim.Callers[Flow].Reset);
--- a/src/opaque/directory.cpp
+++ b/src/opaque/directory.cpp
@@ -56,7 +56,8 @@
   return *Stored;
 }
 
-void Directory::list(const AgentEntry &Entry, int64_t Revision, TimePoint Now) {
+void Directory::list(const AgentEntry &Entry, StoreRevision Revision,
+                     TimePoint Now) {
   upsert(Entry, Now).Revision = Revision;
   NewestEntry_ = std::max(NewestEntry_, Revision);
 }
@@ -70,13 +71,13 @@
 
 void Directory::unlist(const std::string &Name) {
   if (Agent *Member = find(Name))
-    Member->Revision = 0;
+    Member->Revision = {};
 }
 
-void Directory::listAll(
-    const std::vector<std::pair<AgentEntry, int64_t>> &Entries, TimePoint Now) {
+void Directory::listAll(const std::vector<ListedAgent> &Entries,
+                        TimePoint Now) {
   for (auto &[Name, Member] : Agents_)
-    Member->Revision = 0;
+    Member->Revision = {};
   for (const auto &[Entry, Revision] : Entries)
     list(Entry, Revision, Now);
 }
--- a/src/opaque/directory.h
+++ b/src/opaque/directory.h
@@ -18,8 +18,8 @@
 struct Agent {
   AgentId Id = AgentId::None;
   AgentEntry Entry;
-  /// The entry's revision in the store; 0 when it is not listed there.
-  int64_t Revision = 0;
+  /// The entry's revision in the store; not set when it is not listed there.
+  StoreRevision Revision;
   TimePoint FirstSeen{};
   /// Time of the last pong; the epoch if there was none.
   TimePoint LastPong{};
@@ -33,11 +33,17 @@
   /// Time of the first ping since LastPong; the epoch if there was none.
   TimePoint FirstUnansweredPing{};
 
-  bool listed() const { return Revision != 0; }
+  bool listed() const { return Revision.isSet(); }
   bool hasAnswered() const { return LastPong != TimePoint{}; }
   TimePoint lastSeen() const { return std::max(LastPong, FirstSeen); }
 };
 
+/// An entry in the store.
+struct ListedAgent {
+  AgentEntry Entry;
+  StoreRevision Revision;
+};
+
 class Directory {
 public:
   /// An agent that has not answered pings for this time is suspect and is not
@@ -57,13 +63,12 @@
       : Zone_(std::move(Zone)), Rng_(Seed) {}
 
   /// Call when the store lists an agent with this entry and revision.
-  void list(const AgentEntry &Entry, int64_t Revision, TimePoint Now);
+  void list(const AgentEntry &Entry, StoreRevision Revision, TimePoint Now);
   /// Call when the store no longer lists the agent. The agent stays in the
   /// directory for as long as it answers.
   void unlist(const std::string &Name);
   /// Call when the store lists exactly these agents.
-  void listAll(const std::vector<std::pair<AgentEntry, int64_t>> &Entries,
-               TimePoint Now);
+  void listAll(const std::vector<ListedAgent> &Entries, TimePoint Now);
   /// Adds an agent that a peer or the agent itself has reported; it may not be
   /// listed in the store.
   void addUnlisted(const AgentEntry &Entry, TimePoint Now);
@@ -113,11 +118,13 @@
   size_t slotsOf(const std::string &Service) const;
   size_t openSlotsOf(const std::string &Service, TimePoint Now) const;
   /// Call when all entries as of this revision of the store are known.
-  void onListedAsOf(int64_t Revision) { ListedAsOf_ = Revision; }
+  void onListedAsOf(StoreRevision Revision) { ListedAsOf_ = Revision; }
   /// The revision of the newest entry that the store has listed.
-  int64_t newestEntry() const { return NewestEntry_; }
+  StoreRevision newestEntry() const { return NewestEntry_; }
   /// Entries up to this revision are known, or have been removed.
-  int64_t knownAsOf() const { return std::max(NewestEntry_, ListedAsOf_); }
+  StoreRevision knownAsOf() const {
+    return std::max(NewestEntry_, ListedAsOf_);
+  }
   /// The greatest Pong::Rank of the answering agents; std::nullopt if none
   /// answers.
   std::optional<uint32_t> greatestRank(TimePoint Now) const;
@@ -133,8 +140,8 @@
 
   std::string Zone_;
   Random Rng_;
-  int64_t NewestEntry_ = 0;
-  int64_t ListedAsOf_ = 0;
+  StoreRevision NewestEntry_;
+  StoreRevision ListedAsOf_;
   std::map<std::string, std::unique_ptr<Agent>> Agents_;
   // Indexes of Agents_; rebuild() updates them.
   std::unordered_map<AgentId, Agent *> ById_;
--- a/src/opaque/opaque_test.cpp
+++ b/src/opaque/opaque_test.cpp
@@ -82,7 +82,7 @@
       Added.Config, Sim.Now);
   Sim.makeGate(Added);
   for (FakeBalancer &Balancer : Sim.Balancers)
-    Balancer.Agents->list(Added.Entry, 2, Sim.Now);
+    Balancer.Agents->list(Added.Entry, {1, 2}, Sim.Now);
   Sim.sendData(*Second, Flow);
   Sim.run(100ms);
   EXPECT_TRUE(Sim.Callers[Flow].Answered);
--- a/src/opaque/opaqueparts_test.cpp
+++ b/src/opaque/opaqueparts_test.cpp
@@ -119,7 +119,7 @@
   Directory Agents("zone-0", 1);
   const AgentEntry Entry = {"a", "desk", "zone-0", {1, 1}, {1, 2}};
   TimePoint Now{100s};
-  Agents.list(Entry, 7, Now);
+  Agents.list(Entry, {1, 7}, Now);
   Pong Report;
   Report.Name = "a";
   Report.Service = "desk";
@@ -133,7 +133,7 @@
 
 TEST(Directory, APongOfAnotherServiceAtAReusedAddressIsNoSignOfLife) {
   Directory Agents("zone-0", 1);
-  Agents.list({"a", "desk", "zone-0", {1, 1}, {1, 2}}, 7, TimePoint{100s});
+  Agents.list({"a", "desk", "zone-0", {1, 1}, {1, 2}}, {1, 7}, TimePoint{100s});
   Pong Report;
   Report.Name = "a";
   Report.Service = "print";
@@ -145,7 +145,7 @@
   Directory Agents("zone-0", 1);
   TimePoint Now{100s};
   for (const char *Name : {"a", "b", "c"})
-    Agents.list({Name, "desk", "zone-0", {1, 1}, {1, 2}}, 7, Now);
+    Agents.list({Name, "desk", "zone-0", {1, 1}, {1, 2}}, {1, 7}, Now);
   for (const auto &[Name, A] : Agents.agents())
     Agents.onPingSent(*A, Now);
   EXPECT_TRUE(Agents.removable(Now + 30s).empty());
@@ -170,7 +170,7 @@
     Report.Name = Name;
     Report.Busy = Report.Name == "idle" ? 0 : 4;
     const uint32_t Ip = Report.Name == "idle" ? 1 : 2;
-    Agents.list({Name, "desk", "zone-0", {Ip, 1}, {Ip, 2}}, 7, Now);
+    Agents.list({Name, "desk", "zone-0", {Ip, 1}, {Ip, 2}}, {1, 7}, Now);
     Agents.onPong(Report, Now);
   }
   EXPECT_EQ(Agents.choose("desk", 0, Now)->Entry.Name, "idle");
@@ -190,11 +190,11 @@
     Report.Service = "desk";
     Report.Name = "cold";
     Report.State = Intake::Cold;
-    Agents.list({"cold", "desk", "zone-0", {1, 1}, {1, 2}}, 7, Now);
+    Agents.list({"cold", "desk", "zone-0", {1, 1}, {1, 2}}, {1, 7}, Now);
     Agents.onPong(Report, Now);
     Report.Name = "other";
     Report.State = OtherOpen ? Intake::Open : Intake::Cold;
-    Agents.list({"other", "desk", "zone-0", {2, 1}, {2, 2}}, 7, Now);
+    Agents.list({"other", "desk", "zone-0", {2, 1}, {2, 2}}, {1, 7}, Now);
     Agents.onPong(Report, Now);
     Agents.onRefusal("desk", {1, 1}, Now);
     const uint32_t Other = Directory::triedBit(*Agents.find("other"));
@@ -356,13 +356,13 @@
   Report.Busy = 1.5;
   switch (Kind) {
   case 0:
-    return Ping{"a", 3, {1, 2, 3}, 4, 7, {5, 6}};
+    return Ping{"a", 3, {1, {2, 3}, 4}, {2, 4}, {1, 7}, {5, 6}};
   case 1:
     return Report;
   case 2:
     return Find{Flow};
   case 3:
-    return Located{"a", Flow, Holding::Denies, 8};
+    return Located{"a", Flow, Holding::Denies, {2, 8}};
   default:
     return Hello{Entry};
   }
--- a/src/opaque/opaquesimulation_test.h
+++ b/src/opaque/opaquesimulation_test.h
@@ -44,8 +44,8 @@
   AgentEntry Entry;
   FakeUpstream LocalUpstream;
   bool Running = true;
-  int64_t NewestEntry = 0;  ///< As reported by balancers.
-  TimePoint RunningSince{}; ///< Start of the agent.
+  StoreRevision NewestEntry; ///< As reported by balancers.
+  TimePoint RunningSince{};  ///< Start of the agent.
   Intake Reported = Intake::Unready;
   Configuration Config;
   std::unique_ptr<Upstream> UpstreamState;
@@ -166,8 +166,8 @@
     Balancer.Core = std::make_unique<Steering>(Balancer.Config,
                                                *Balancer.Agents, 1000, Now);
     for (const FakeHost &Host : Hosts)
-      Balancer.Agents->list(Host.Entry, 1, Now);
-    Balancer.Core->onAgentsListed(Now);
+      Balancer.Agents->list(Host.Entry, {1, 1}, Now);
+    Balancer.Core->onAgentsListed({1, 1}, Now);
     if (HasPeerList)
       Balancer.Core->onPeerAgentList();
   }
--- a/src/opaque/restoredstore_test.cpp
+++ b/src/opaque/restoredstore_test.cpp
@@ -11,7 +11,7 @@
   /// store that begins with the restore.
   void listAfterRestore(FakeBalancer &Balancer, const FakeHost &Host,
                         int64_t Revision) {
-    Balancer.Agents->list(Host.Entry, Revision, Sim.Now);
+    Balancer.Agents->list(Host.Entry, {2, Revision}, Sim.Now);
   }
 };
 
@@ -21,8 +21,8 @@
 TEST_F(RestoredStore, AnAgentAtALowerRevisionIsNotTakenAsKnown) {
   Sim.HasPeerList = true;
   for (const FakeHost &Host : Sim.Hosts) {
-    First->Agents->list(Host.Entry, 100, Sim.Now);
-    Second->Agents->list(Host.Entry, 100, Sim.Now);
+    First->Agents->list(Host.Entry, {1, 100}, Sim.Now);
+    Second->Agents->list(Host.Entry, {1, 100}, Sim.Now);
   }
   Sim.run(1s);
   FakeHost &Late = Sim.addHost("late");
@@ -37,6 +37,40 @@
   EXPECT_FALSE(Sim.Callers[Flow].Reset);
 }
 
+// Guards against dead flows that wait in silence: agents still report the
+// greatest revision of before the restore, which no list reaches for a while.
+TEST_F(RestoredStore, SearchesEndThoughAgentsReportEntriesOfTheEraBefore) {
+  for (FakeHost &Host : Sim.Hosts)
+    Host.NewestEntry = {1, 100};
+  for (const FakeHost &Host : Sim.Hosts)
+    First->Agents->list(Host.Entry, {2, 10}, Sim.Now);
+  First->Core->onAgentsListed({2, 10}, Sim.Now);
+  const FlowId Flow = Sim.open(*First, DeskRoute);
+  Sim.restartUpstream(holderOf(Flow));
+  Sim.run(20s);
+  Sim.sendData(*First, Flow, 11);
+  Sim.run(100ms);
+  EXPECT_TRUE(Sim.Callers[Flow].Reset);
+}
+
+// Guards against a reset of an open flow whose agent has lost its entry by the
+// restore, and is not known to a balancer that lists only what is left.
+TEST_F(RestoredStore, NoFlowIsResetWhileEntriesMayBeLost) {
+  FakeHost &Late = Sim.addHost("late");
+  Sim.SharedManifest.Routes[DeskRoute].Services = {{"late", 1}, {"desk", 0}};
+  Sim.publish();
+  First->Agents->list(Late.Entry, {1, 2}, Sim.Now);
+  Sim.run(1s);
+  const FlowId Flow = Sim.open(*First, DeskRoute);
+  for (FakeHost &Host : Sim.Hosts)
+    Host.NewestEntry = {2, 1};
+  Second->Agents->onListedAsOf({2, 1});
+  Second->Core->onAgentsListed({2, 1}, Sim.Now);
+  Sim.sendData(*Second, Flow, 11);
+  Sim.run(100ms);
+  EXPECT_FALSE(Sim.Callers[Flow].Reset);
+}
+
 // Guards against an acknowledged evacuation that ends because the store has
 // lost it, and against one that never ends.
 TEST(RestoredEvacuations, AreHeldUntilTheyAreListedAgainOrForAWhile) {
--- a/src/opaque/search.h
+++ b/src/opaque/search.h
@@ -25,8 +25,8 @@
   bool Incomplete = false;
   /// Whether the agents of all other services were queried as well.
   bool Widened = false;
-  size_t Offers = 0;         ///< Number of packets offered to unsure agents.
-  int64_t ReportedEntry = 0; ///< The greatest Located::NewestEntry.
+  size_t Offers = 0;           ///< Number of packets offered to unsure agents.
+  StoreRevision ReportedEntry; ///< The greatest Located::NewestEntry.
   std::vector<HeldPacket> HeldPackets;
 
   bool isDenied() const {
--- a/src/opaque/steering.cpp
+++ b/src/opaque/steering.cpp
@@ -357,9 +357,13 @@
   return conclude(*Pending, Now);
 }
 
-void Steering::onAgentsListed(TimePoint Now) {
-  if (!ListedAt_)
+void Steering::onAgentsListed(StoreRevision Revision, TimePoint Now) {
+  const bool LostEntries = ListedAt_ && Revision.Era != ListedEra_;
+  ListedEra_ = Revision.Era;
+  if (!ListedAt_ || LostEntries)
     ListedAt_ = Now;
+  if (LostEntries)
+    HasPeerList_ = false;
 }
 
 std::vector<DelayedAction> Steering::tick(TimePoint Now) {
--- a/src/opaque/steering.h
+++ b/src/opaque/steering.h
@@ -46,8 +46,8 @@
   /// Whether the route history covers the greatest age of a flow.
   bool HistoryComplete = false;
   bool Widened = false;
-  int64_t KnownAsOf = 0;     ///< Directory::knownAsOf().
-  int64_t ReportedEntry = 0; ///< The greatest Located::NewestEntry.
+  StoreRevision KnownAsOf;     ///< Directory::knownAsOf().
+  StoreRevision ReportedEntry; ///< The greatest Located::NewestEntry.
 };
 
 /// The decision on one packet.
@@ -98,8 +98,9 @@
   /// Call regularly: ages the cache, ends searches and places queued flows.
   std::vector<DelayedAction> tick(TimePoint Now);
   /// Call when the list of agents was read from the store in full. Before that,
-  /// a flow may exist although all known agents deny it.
-  void onAgentsListed(TimePoint Now);
+  /// a flow may exist although all known agents deny it. The same holds for a
+  /// while after the first list of a new era, which may have lost entries.
+  void onAgentsListed(StoreRevision Revision, TimePoint Now);
   /// Call when a peer has sent the agents that it knows, listed or not.
   void onPeerAgentList() { HasPeerList_ = true; }
 
@@ -160,7 +161,9 @@
   Searches Searches_;
   NewFlowQueue Queue_;
   TimePoint Started_;
+  /// Time of the first list of the store's present era.
   std::optional<TimePoint> ListedAt_;
+  int64_t ListedEra_ = 0;
   bool HasPeerList_ = false;
 };
 
--- a/src/opaque/storerevision.h
+++ b/src/opaque/storerevision.h
@@ -4,6 +4,8 @@
 
 #include <compare>
 #include <cstdint>
+#include <fmt/format.h>
+#include <string>
 
 namespace dragonflystall::opaque {
 
@@ -20,6 +22,10 @@
                           const StoreRevision &) = default;
 };
 
+inline std::string toString(StoreRevision Revision) {
+  return fmt::format("{}/{}", Revision.Era, Revision.Number);
+}
+
 } // namespace dragonflystall::opaque
 
 #endif
