A peer's route history counts for the peer's own manifest only

Callers saw: packets of open flows offered to upstreams of another service for seconds (FLOW), or a reset. Cause: a balancer that starts takes the manifest from the store and the history of routes from a peer. If the peer's manifest is older, the services that it still names and ours no longer does were in nobody's history, yet the peer's span was taken over, so that the history counted as complete and the search asked too few agents. After a restore peers are behind for up to two seconds, which makes this order likely.

Change: Configuration::offerOfPeer takes manifest and history together. From a peer that is behind it takes former services, and as former those that the peer's manifest names and ours does not; not the span, since a version between the two may have named others. The history is then incomplete, and searches ask the agents of all services, as after any gap.

--- a/src/node/configsource.cpp
+++ b/src/node/configsource.cpp
@@ -73,21 +73,21 @@
     fetch(Sources_.Seeds[NextSeed_++ % Sources_.Seeds.size()], Now);
 }
 
-void ConfigSource::logHistory(const platform::PeerState &Peer) {
-  const auto PeerManifest = platform::decodeManifest(Peer.ManifestContent);
-  const opaque::RouteHistoryState Known =
-      Config_.history().state(Services_.now());
+void ConfigSource::logHistory(const opaque::RouteHistoryState &Theirs,
+                              int64_t TheirManifest) {
+  const TimePoint Now = Services_.now();
+  const opaque::RouteHistoryState Ours = Config_.history().state(Now);
   auto Line = Services_.log(LogClass::State, "route-history");
   Line.text("peer", toString(PeerChannel_->server()))
-      .number("peer_manifest", PeerManifest ? PeerManifest->Version : 0)
+      .number("peer_manifest", TheirManifest)
       .number("manifest", Config_.manifest().Version)
-      .number("peer_former", Peer.History.Former.size())
-      .number("former", Known.Former.size())
-      .number("complete", Config_.history().isComplete(Services_.now()));
-  if (Peer.History.Span)
-    Line.age("peer_span_ms", *Peer.History.Span);
-  if (Known.Span)
-    Line.age("span_ms", *Known.Span);
+      .number("peer_former", Theirs.Former.size())
+      .number("former", Ours.Former.size())
+      .number("complete", Config_.history().isComplete(Now));
+  if (Theirs.Span)
+    Line.age("peer_span_ms", *Theirs.Span);
+  if (Ours.Span)
+    Line.age("span_ms", *Ours.Span);
 }
 
 bool ConfigSource::isSeedFetchDue(TimePoint Now) const {
@@ -101,33 +101,53 @@
 
 void ConfigSource::onManifests(const std::vector<platform::Object> &Objects,
                                Source From) {
-  for (const platform::Object &O : Objects)
-    offerManifest(O.Content, From);
-}
-
-bool ConfigSource::offerManifest(const std::string &Content, Source From) {
-  const std::string_view FromName = SourceNames[static_cast<size_t>(From)];
-  auto Newer = platform::decodeManifest(Content);
-  const int64_t Before = Config_.manifest().Version;
-  if (!Newer) {
-    Services_.log(LogClass::State, "manifest-refused")
-        .text("from", FromName)
-        .text("error", Newer.error())
-        .number("version", Before);
-    return false;
-  }
   const auto Continuity = From == Source::Watch ? opaque::Continuity::Unbroken
                                                 : opaque::Continuity::Gap;
-  if (!Config_.offer(std::move(*Newer), Continuity, Services_.now()))
-    return false;
+  for (const platform::Object &O : Objects) {
+    auto Newer = readManifest(O.Content, From);
+    const int64_t Before = Config_.manifest().Version;
+    if (Newer && Config_.offer(std::move(*Newer), Continuity, Services_.now()))
+      onManifestTaken(O.Content, From, Before);
+  }
+}
+
+std::optional<opaque::Manifest>
+ConfigSource::readManifest(const std::string &Content, Source From) {
+  auto Decoded = platform::decodeManifest(Content);
+  if (Decoded)
+    return std::move(*Decoded);
+  Services_.log(LogClass::State, "manifest-refused")
+      .text("from", SourceNames[static_cast<size_t>(From)])
+      .text("error", Decoded.error())
+      .number("version", Config_.manifest().Version);
+  return std::nullopt;
+}
+
+void ConfigSource::onManifestTaken(const std::string &Content, Source From,
+                                   int64_t Before) {
   ManifestContent_ = Content;
   Services_.log(LogClass::State, "manifest")
-      .text("from", FromName)
+      .text("from", SourceNames[static_cast<size_t>(From)])
       .number("version", Config_.manifest().Version)
       .number("before", Before)
       .number("routes", Config_.manifest().Routes.size());
   Callbacks_.OnManifest();
-  return true;
+}
+
+bool ConfigSource::offerManifestOfPeer(const platform::PeerState &State) {
+  if (State.ManifestContent.empty())
+    return false;
+  auto Theirs = readManifest(State.ManifestContent, Source::Peer);
+  if (!Theirs)
+    return false;
+  const int64_t TheirVersion = Theirs->Version;
+  const int64_t Before = Config_.manifest().Version;
+  const bool Taken =
+      Config_.offerOfPeer(std::move(*Theirs), State.History, Services_.now());
+  if (Taken)
+    onManifestTaken(State.ManifestContent, Source::Peer, Before);
+  logHistory(State.History, TheirVersion);
+  return Taken;
 }
 
 void ConfigSource::offerEvacuations(const opaque::Evacuations &Newer,
@@ -182,10 +202,7 @@
   const bool WasBehind = BehindSince_.has_value();
   BehindSince_.reset();
   const opaque::StoreRevision Revision = Config_.evacuations().revision();
-  const bool NewManifest = !State.ManifestContent.empty() &&
-                           offerManifest(State.ManifestContent, Source::Peer);
-  Config_.history().merge(State.History, Services_.now());
-  logHistory(State);
+  const bool NewManifest = offerManifestOfPeer(State);
   if (State.Evacuations.Revision.isSet())
     offerEvacuations(State.Evacuations, "peer");
   if (Callbacks_.OnAgents)
--- a/src/node/configsource.h
+++ b/src/node/configsource.h
@@ -58,15 +58,23 @@
   enum class Source : uint8_t { List, Watch, Peer };
 
   void onManifests(const std::vector<platform::Object> &Objects, Source From);
-  bool offerManifest(const std::string &Content, Source From);
+  /// Logs why the content is not a valid manifest, if it is not.
+  std::optional<opaque::Manifest> readManifest(const std::string &Content,
+                                               Source From);
+  /// Before: the version of the manifest that the new one replaces.
+  void onManifestTaken(const std::string &Content, Source From, int64_t Before);
   void offerEvacuations(const opaque::Evacuations &Newer,
                         std::string_view From);
   /// From: the source of the change, for the log.
   void onEvacuationsChanged(std::string_view From);
   void fetch(Endpoint Peer, TimePoint Now);
   void onPeerState(const platform::PeerState &State);
+  /// Takes the manifest and the route history of a peer. Returns whether the
+  /// manifest is newer than ours was.
+  bool offerManifestOfPeer(const platform::PeerState &State);
   /// Logs the route history after that of a peer was merged.
-  void logHistory(const platform::PeerState &Peer);
+  void logHistory(const opaque::RouteHistoryState &Theirs,
+                  int64_t TheirManifest);
 
   bool isSeedFetchDue(TimePoint Now) const;
 
--- a/src/opaque/manifest.h
+++ b/src/opaque/manifest.h
@@ -65,6 +65,18 @@
     Manifest_ = std::move(Newer);
     return true;
   }
+  /// Takes what is newer or missing here of a peer's manifest and of its route
+  /// history. Returns whether the manifest was taken.
+  bool offerOfPeer(Manifest Theirs, const RouteHistoryState &TheirHistory,
+                   TimePoint Now) {
+    if (Theirs.Version < Manifest_.Version) {
+      History_.mergeOlder(TheirHistory, Theirs.Routes, Manifest_.Routes, Now);
+      return false;
+    }
+    const bool Taken = offer(std::move(Theirs), Continuity::Gap, Now);
+    History_.merge(TheirHistory, Now);
+    return Taken;
+  }
 
 private:
   Manifest Manifest_;
--- a/src/opaque/opaquesimulation_test.h
+++ b/src/opaque/opaquesimulation_test.h
@@ -161,7 +161,8 @@
         });
     startConfig(Balancer.Config);
     if (HasPeerHistory && Peer != Balancers.end())
-      Balancer.Config.history().merge(Peer->Config.history().state(Now), Now);
+      Balancer.Config.offerOfPeer(Peer->Config.manifest(),
+                                  Peer->Config.history().state(Now), Now);
     Balancer.Agents = std::make_unique<Directory>("zone-0", Rng());
     Balancer.Core = std::make_unique<Steering>(Balancer.Config,
                                                *Balancer.Agents, 1000, Now);
--- a/src/opaque/routehistory.cpp
+++ b/src/opaque/routehistory.cpp
@@ -47,6 +47,13 @@
   CompleteSince_ = std::min(CompleteSince_.value_or(PeerSince), PeerSince);
 }
 
+void RouteHistory::mergeOlder(const RouteHistoryState &Peer,
+                              const RouteMap &PeerRoutes,
+                              const RouteMap &Routes, TimePoint Now) {
+  merge({std::nullopt, Peer.Former}, Now);
+  onChange(PeerRoutes, Routes, Now);
+}
+
 std::vector<std::string> RouteHistory::formerServices(Endpoint Route,
                                                       TimePoint Now) const {
   std::vector<std::string> Result;
--- a/src/opaque/routehistory.h
+++ b/src/opaque/routehistory.h
@@ -44,6 +44,10 @@
   void onChange(const RouteMap &Before, const RouteMap &After, TimePoint Now);
   /// Adds the history of a peer whose manifest is not older than ours.
   void merge(const RouteHistoryState &Peer, TimePoint Now);
+  /// Adds the history of a peer whose manifest is older than ours. Changes
+  /// between the two manifests may be missing, so the span is not taken over.
+  void mergeOlder(const RouteHistoryState &Peer, const RouteMap &PeerRoutes,
+                  const RouteMap &Routes, TimePoint Now);
 
   /// Services that the route named within the greatest age of a flow.
   std::vector<std::string> formerServices(Endpoint Route, TimePoint Now) const;
--- a/src/opaque/weightedroutes_test.cpp
+++ b/src/opaque/weightedroutes_test.cpp
@@ -94,6 +94,28 @@
   EXPECT_TRUE(Late.isComplete(Now + 60s));
 }
 
+// Guards against a history that counts as complete although it lacks a service
+// that routes named only between the peer's manifest and ours.
+TEST(RouteHistory, IsNotCompletedByAPeerWithAnOlderManifest) {
+  const TimePoint Now{1000s};
+  const auto Naming = [](int64_t Version, const std::string &Service) {
+    Manifest M;
+    M.Version = Version;
+    M.Routes[DeskRoute] = {{{Service, 1}}, 1s, 1};
+    return M;
+  };
+  RouteHistory Complete(60s);
+  Complete.onFirstStart(Now);
+  Configuration Ours;
+  Ours.offer(Naming(9, "c"), Continuity::Gap, Now);
+  EXPECT_FALSE(Ours.offerOfPeer(Naming(7, "a"), Complete.state(Now), Now));
+  EXPECT_FALSE(Ours.history().isComplete(Now));
+  EXPECT_EQ(Ours.history().formerServices(DeskRoute, Now),
+            std::vector<std::string>{"a"});
+  EXPECT_FALSE(Ours.offerOfPeer(Naming(9, "c"), Complete.state(Now), Now));
+  EXPECT_TRUE(Ours.history().isComplete(Now));
+}
+
 TEST(RouteHistory, StaysWithinItsLimit) {
   RouteHistory History(60s);
   TimePoint Now{1000s};
