An agent whose upstream returned a packet denies that flow

Cause: agents that have started after their upstreams can't tell whether they hold a flow, so that the balancer offers them a packet. The upstream returned it, the agent forgot that at once, and was offered the caller's next packet, for as long as the search failed.

Change: a gate whose table of flows is not complete remembers the flows whose packets its upstream has returned, and denies them; a SYN that it admits, a new start of the upstream or the complete table ends that. Bounded: 4,096 hashes, for the idle timeout (15 s) after the agent's start.

Weighed: remembering at the balancer that a flow was offered in vain (each balancer would offer again; it has to forget when agents change); offering to agents of services that the route is not known to have named (a packet of one service must not reach another).

--- a/src/opaque/gate.cpp
+++ b/src/opaque/gate.cpp
@@ -27,6 +27,8 @@
 /// all balancers at once and would be overfilled.
 constexpr double EarlyRequestsPerSlot = 1.4;
 constexpr int EarlyOffers = 2;
+/// Limit on the flows that are remembered as returned by the upstream.
+constexpr size_t MaxReturned = 4096;
 
 GateAction toUpstream(GateReason Reason) {
   return {GateAction::Kind::ToUpstream, Reason, {}, {}, false};
@@ -58,6 +60,7 @@
     return refuse(Head, Balancer, GateReason::Full);
   Upstream_.onSynPassed(Now);
   const uint64_t Hash = hashOf(Head.fromCaller());
+  Returned_.erase(Hash);
   Flow &Entry = Flows_[Hash];
   Entry.Balancer = Balancer;
   Entry.LastUsed = Now;
@@ -183,7 +186,10 @@
 
 GateAction Gate::returnBounced(const PacketHead &Head, TimePoint Now) {
   Upstream_.onBounce();
-  const auto It = Flows_.find(hashOf(Head.fromCaller()));
+  const uint64_t Hash = hashOf(Head.fromCaller());
+  if (!Head.opens())
+    markReturned(Hash, Now);
+  const auto It = Flows_.find(Hash);
   if (It == Flows_.end())
     return {};
   const Endpoint Balancer = It->second.Balancer;
@@ -193,6 +199,11 @@
           ForwardingState::decode(Head.Echo), false};
 }
 
+void Gate::markReturned(uint64_t Hash, TimePoint Now) {
+  if (!isTableComplete(Now) && Returned_.size() < MaxReturned)
+    Returned_.insert(Hash);
+}
+
 GateAction Gate::fromUpstream(const PacketHead &Head, TimePoint Now) {
   if (Head.Bounced)
     return returnBounced(Head, Now);
@@ -218,8 +229,10 @@
 std::optional<Holding> Gate::holding(const FlowId &Flow, TimePoint Now) const {
   if (Upstream_.isGone())
     return Holding::Denies; // Also if no upstream ever reported.
-  const auto It = Flows_.find(hashOf(Flow));
-  if (It == Flows_.end() && (isTableComplete(Now) || !mayHold(Flow, Now)))
+  const uint64_t Hash = hashOf(Flow);
+  const auto It = Flows_.find(Hash);
+  if (It == Flows_.end() && (isTableComplete(Now) ||
+                             Returned_.count(Hash) > 0 || !mayHold(Flow, Now)))
     return Holding::Denies; // Whether or not the upstream still lives.
   if (!Upstream_.isReachable(Now))
     return std::nullopt;
@@ -266,6 +279,7 @@
   BusyFlows_ = 0;
   // All flows of the restarted upstream pass through this gate.
   CompleteSince_.reset();
+  Returned_.clear();
 }
 
 void Gate::tick(TimePoint Now) {
@@ -275,6 +289,8 @@
   if (Now - SweptAt_ < SweepInterval)
     return;
   SweptAt_ = Now;
+  if (isTableComplete(Now))
+    Returned_.clear();
   for (auto It = Flows_.begin(); It != Flows_.end();) {
     if (Now - It->second.BusySince > BusyTimeout)
       setBusy(It->second, false, Now);
--- a/src/opaque/gate.h
+++ b/src/opaque/gate.h
@@ -12,6 +12,7 @@
 #include <deque>
 #include <optional>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace dragonflystall::opaque {
 
@@ -103,6 +104,8 @@
   GateAction refuse(const PacketHead &Head, Endpoint Balancer,
                     GateReason Reason);
   GateAction returnBounced(const PacketHead &Head, TimePoint Now);
+  /// Records that the upstream does not hold a flow.
+  void markReturned(uint64_t Hash, TimePoint Now);
   /// Returns whether the packet carries data beyond NextSequence.
   static bool newData(Flow &Entry, const PacketHead &Head);
   /// Whether a packet without SYN can be passed to the upstream.
@@ -146,6 +149,10 @@
   /// Flows_ contains every open flow that was used since this time; unset if
   /// the upstream started after this agent, so that Flows_ is complete.
   std::optional<TimePoint> CompleteSince_;
+  /// Hashes of flows whose packets the upstream has returned, so that it does
+  /// not hold them. Empty while the table is complete, which then tells the
+  /// same.
+  std::unordered_set<uint64_t> Returned_;
 };
 
 } // namespace dragonflystall::opaque
