An agent looks for its entry in a new era of the store

Operators saw: an agent whose entry the restore had lost stayed out of the store for as long as the store's revisions were below that of the lost entry, so that balancers that started meanwhile knew it from peers or from its own reports only; and the entry of an upstream that had left, back from the copy, stayed. Cause: a balancer's report that the entry is missing counted only at a revision greater than the entry's own, and nothing made an agent doubt what it had written or removed.

Change: Registration has the era with the entry's revision and with reports of missing entries; a new era makes the agent read its entry once. An answer of an earlier era is taken as no answer.

Cost: one read an agent for each restore, spread by the backoffs that the outage has begun.

AnEntryIsLookedUpInANewEra and ARemovedEntryThatIsBackIsRemovedAgain are new (no such call before).

--- a/src/node/agent.cpp
+++ b/src/node/agent.cpp
@@ -255,7 +255,7 @@
   Balancers_.onPing(From, Now);
   NewestEntry_ = std::max(NewestEntry_, Ping->NewestEntry);
   if (Ping->MissingAsOf.isSet())
-    Registration_.onMissing(Ping->MissingAsOf.Number);
+    Registration_.onMissing(Ping->MissingAsOf);
   Config_.onPeerVersions(Ping->Versions, Ping->Http, Now);
   sendControl(From, pong(From, Ping->Number, Now));
 }
@@ -299,11 +299,11 @@
     break;
   case Call::Replace:
     Request = platform::replaceCall(*Registration_.wanted(),
-                                    Registration_.revision());
+                                    Registration_.revision().Number);
     break;
   case Call::Remove:
     Request = platform::removeCall(platform::ObjectKind::Agent, Settings_.Name,
-                                   Registration_.revision());
+                                   Registration_.revision().Number);
     break;
   }
   StoreCalls_.count(platform::ObjectKind::Agent, name(*Due));
@@ -319,7 +319,10 @@
   const TimePoint Now = Services_.now();
   if (!Result)
     return Registration_.onUnknown(Now);
-  Health_.onEra(platform::ObjectKind::Agent, platform::storeEraOf(*Result));
+  const int64_t Era = platform::storeEraOf(*Result);
+  if (!Health_.onEra(platform::ObjectKind::Agent, Era))
+    return Registration_.onUnknown(Now);
+  Registration_.onEra(Era);
   const int Status = Result->Status;
   const bool Removed =
       Sent == opaque::Registration::Call::Remove && Result->succeeded();
@@ -331,11 +334,12 @@
   if (!Object)
     return Registration_.onUnknown(Now);
   if (const auto Entry = platform::decodeAgent(*Object))
-    Registration_.onStored(*Entry, Object->Revision);
+    Registration_.onStored(*Entry, {Era, Object->Revision});
   else
-    Registration_.onForeign(Object->Revision);
+    Registration_.onForeign({Era, Object->Revision});
   Services_.log(LogClass::State, "entry-stored")
       .number("revision", Object->Revision)
+      .number("era", Era)
       .number("status", Status);
 }
 
@@ -360,6 +364,7 @@
   updateFailureState();
   if (Upstream_.hasEnded())
     removeEntry();
+  Registration_.onEra(Health_.era());
   pollRegistration(Now);
   sendHello(Now);
   const bool Unregistered =
--- a/src/opaque/opaqueparts_test.cpp
+++ b/src/opaque/opaqueparts_test.cpp
@@ -285,7 +285,7 @@
   EXPECT_EQ(Registered.next(Now), std::nullopt);
   Now += 2s;
   EXPECT_EQ(Registered.next(Now), Call::Read);
-  Registered.onStored(Entry, 5);
+  Registered.onStored(Entry, {1, 5});
   EXPECT_EQ(Registered.next(Now), std::nullopt);
 }
 
@@ -293,18 +293,18 @@
   EXPECT_EQ(Registered.next(Now), Call::Create);
   AgentEntry Old = Entry;
   Old.Service = "print";
-  Registered.onStored(Old, 4);
+  Registered.onStored(Old, {1, 4});
   EXPECT_EQ(Registered.next(Now), Call::Replace);
-  Registered.onStored(Entry, 5);
+  Registered.onStored(Entry, {1, 5});
   EXPECT_TRUE(Registered.isSettled());
 }
 
 TEST_F(Registering, AMissingEntryIsCreatedAgain) {
   Registered.next(Now);
-  Registered.onStored(Entry, 5);
-  Registered.onMissing(4);
+  Registered.onStored(Entry, {1, 5});
+  Registered.onMissing({1, 4});
   EXPECT_TRUE(Registered.isSettled());
-  Registered.onMissing(9);
+  Registered.onMissing({1, 9});
   EXPECT_EQ(Registered.next(Now), Call::Create);
 }
 
@@ -313,7 +313,7 @@
   EXPECT_EQ(Registered.next(Now), std::nullopt);
   Registered.markUnknown();
   EXPECT_EQ(Registered.next(Now), Call::Read);
-  Registered.onStored(Entry, 5);
+  Registered.onStored(Entry, {1, 5});
   EXPECT_EQ(Registered.next(Now), Call::Remove);
   Registered.onAbsent();
   EXPECT_TRUE(Registered.isSettled());
@@ -321,7 +321,7 @@
 
 TEST_F(Registering, LeavingRemovesTheEntry) {
   Registered.next(Now);
-  Registered.onStored(Entry, 5);
+  Registered.onStored(Entry, {1, 5});
   Registered.setWanted(std::nullopt);
   EXPECT_EQ(Registered.next(Now), Call::Remove);
   Registered.onUnknown(Now);
--- a/src/opaque/registration.h
+++ b/src/opaque/registration.h
@@ -27,6 +27,14 @@
 
   /// Marks the stored entry as unknown, so that the next call reads it.
   void markUnknown() { NeedsRead_ = true; }
+  /// Call with the era of the store whenever it may have changed, and before an
+  /// answer of that era is handled. A new era may have lost the entry, or may
+  /// have one again that was removed.
+  void onEra(int64_t Era) {
+    if (Era_ != 0 && Era_ != Era)
+      NeedsRead_ = true;
+    Era_ = Era;
+  }
 
   std::optional<Call> next(TimePoint Now) {
     if (CallInProgress_ || isSettled() || !Retry_.hasElapsed(Now))
@@ -36,11 +44,11 @@
       return Call::Read;
     if (!Wanted_)
       return Call::Remove;
-    return Revision_ == 0 ? Call::Create : Call::Replace;
+    return Revision_.isSet() ? Call::Replace : Call::Create;
   }
 
   /// The store has this entry.
-  void onStored(const AgentEntry &Entry, int64_t Revision) {
+  void onStored(const AgentEntry &Entry, StoreRevision Revision) {
     CallInProgress_ = false;
     NeedsRead_ = false;
     Retry_.onSuccess();
@@ -48,7 +56,7 @@
     Revision_ = Revision;
   }
   /// The store has an object under the name that is not an agent entry.
-  void onForeign(int64_t Revision) {
+  void onForeign(StoreRevision Revision) {
     CallInProgress_ = false;
     NeedsRead_ = false;
     Stored_.reset();
@@ -60,7 +68,7 @@
     NeedsRead_ = false;
     Retry_.onSuccess();
     Stored_.reset();
-    Revision_ = 0;
+    Revision_ = {};
   }
   /// The call got no answer: it may have been carried out, or still will be.
   void onUnknown(TimePoint Now) {
@@ -74,23 +82,25 @@
     Retry_.onFailure(Now);
   }
   /// A balancer has read a list without the entry, as of this revision.
-  void onMissing(int64_t AsOf) {
+  void onMissing(StoreRevision AsOf) {
     if (!CallInProgress_ && Stored_ && AsOf > Revision_)
       onAbsent();
   }
 
   bool isSettled() const {
-    return !NeedsRead_ && Stored_ == Wanted_ && (Wanted_ || Revision_ == 0);
+    return !NeedsRead_ && Stored_ == Wanted_ && (Wanted_ || !Revision_.isSet());
   }
   bool isStored() const { return Stored_.has_value(); }
-  int64_t revision() const { return Revision_; }
+  StoreRevision revision() const { return Revision_; }
   const std::optional<AgentEntry> &wanted() const { return Wanted_; }
 
 private:
   Backoff Retry_;
   std::optional<AgentEntry> Wanted_;
   std::optional<AgentEntry> Stored_; ///< As last seen in the store.
-  int64_t Revision_ = 0; ///< Revision of Stored_; 0 if there is none.
+  /// Revision of the object under the name; not set if there is none.
+  StoreRevision Revision_;
+  int64_t Era_ = 0; ///< Of the store; 0 until it is known.
   bool NeedsRead_ = false;
   bool CallInProgress_ = false;
 };
--- a/src/opaque/restoredstore_test.cpp
+++ b/src/opaque/restoredstore_test.cpp
@@ -116,11 +116,46 @@
   const AgentEntry Wanted = Sim.Hosts.front().Entry;
   Entry.setWanted(Wanted);
   ASSERT_EQ(Entry.next(Sim.Now), Registration::Call::Create);
-  Entry.onStored(Wanted, 100);
+  Entry.onStored(Wanted, {1, 100});
   ASSERT_FALSE(Entry.next(Sim.Now));
-  Entry.onMissing(60);
+  Entry.onMissing({2, 60});
   EXPECT_EQ(Entry.next(Sim.Now), Registration::Call::Create);
 }
 
+// The agent does not wait until a balancer misses its entry: none may know it.
+TEST_F(RestoredStore, AnEntryIsLookedUpInANewEra) {
+  Registration Entry(1);
+  const AgentEntry Wanted = Sim.Hosts.front().Entry;
+  Entry.setWanted(Wanted);
+  Entry.onEra(1);
+  ASSERT_EQ(Entry.next(Sim.Now), Registration::Call::Create);
+  Entry.onStored(Wanted, {1, 100});
+  Entry.onEra(1);
+  EXPECT_FALSE(Entry.next(Sim.Now));
+  Entry.onEra(2);
+  EXPECT_EQ(Entry.next(Sim.Now), Registration::Call::Read);
+  Entry.onAbsent();
+  EXPECT_EQ(Entry.next(Sim.Now), Registration::Call::Create);
+}
+
+// Guards against an entry that was removed and is back in the store for good.
+TEST_F(RestoredStore, ARemovedEntryThatIsBackIsRemovedAgain) {
+  Registration Entry(1);
+  const AgentEntry Former = Sim.Hosts.front().Entry;
+  Entry.setWanted(Former);
+  Entry.onEra(1);
+  Entry.next(Sim.Now);
+  Entry.onStored(Former, {1, 100});
+  Entry.setWanted(std::nullopt);
+  ASSERT_EQ(Entry.next(Sim.Now), Registration::Call::Remove);
+  Entry.onAbsent();
+  ASSERT_TRUE(Entry.isSettled());
+  Entry.onEra(2);
+  ASSERT_EQ(Entry.next(Sim.Now), Registration::Call::Read);
+  Entry.onStored(Former, {2, 60});
+  EXPECT_EQ(Entry.next(Sim.Now), Registration::Call::Remove);
+  EXPECT_EQ(Entry.revision(), (StoreRevision{2, 60}));
+}
+
 } // namespace
 } // namespace dragonflystall::opaque::test
