A peer that knows nothing is not the last one asked

Callers could see: resets of open flows, or packets at another service's upstreams, after several balancers had started at once. Cause: a balancer that starts asks one peer for the agents that it knows and for the history of routes, and took any answer as complete. After a restore the peer's list may also lack agents whose entries were lost.

Change: a process says with its agents whether it is sure to know all; only then does the receiver take its own knowledge for complete. A balancer asks on, one seed every half second for three seconds, until it knows of all agents and all changes of routes, or has had as many answers as there are seeds.

--- a/src/node/balancer.cpp
+++ b/src/node/balancer.cpp
@@ -218,19 +218,21 @@
   }
 }
 
-void Balancer::onPeerAgents(const std::vector<opaque::AgentEntry> &Agents) {
-  for (const opaque::AgentEntry &Entry : Agents)
+void Balancer::onPeerAgents(const opaque::AgentList &Theirs) {
+  for (const opaque::AgentEntry &Entry : Theirs.Entries)
     Agents_.addUnlisted(Entry, Services_.now());
-  Steering_.onPeerAgentList();
+  if (Theirs.IsComplete)
+    Steering_.onPeerAgentList();
   NextPing_ = {};
-  AgentsKnown_ = AgentsKnown_ || !Agents.empty();
+  AgentsKnown_ = AgentsKnown_ || !Theirs.Entries.empty();
 }
 
-std::vector<opaque::AgentEntry> Balancer::agentsForPeers() const {
-  std::vector<opaque::AgentEntry> Result;
+opaque::AgentList Balancer::agentsForPeers() const {
+  opaque::AgentList Ours;
   for (const auto &[Name, Agent] : Agents_.agents())
-    Result.push_back(Agent->Entry);
-  return Result;
+    Ours.Entries.push_back(Agent->Entry);
+  Ours.IsComplete = Steering_.knowsAllAgents(Services_.now());
+  return Ours;
 }
 
 bool Balancer::ready() const { return config().hasManifest() && AgentsKnown_; }
--- a/src/node/balancer.h
+++ b/src/node/balancer.h
@@ -18,10 +18,10 @@
   void onTick(TimePoint Now) override;
   void onControl(const opaque::ControlMessage &Message, Endpoint From,
                  TimePoint Now) override;
-  void onPeerAgents(const std::vector<opaque::AgentEntry> &Agents) override;
+  void onPeerAgents(const opaque::AgentList &Theirs) override;
   void onStop(TimePoint Now) override { StopRequestedAt_ = Now; }
   bool ready() const override;
-  std::vector<opaque::AgentEntry> agentsForPeers() const override;
+  opaque::AgentList agentsForPeers() const override;
 
 private:
   void onCallerBatch(std::span<const Datagram> Batch);
--- a/src/node/configsource.cpp
+++ b/src/node/configsource.cpp
@@ -94,11 +94,18 @@
   if (Sources_.Seeds.empty())
     return false;
   const Duration Age = Now - StartedAt_;
-  if (Sources_.AlwaysFetchFromSeeds && !PeerAnswered_ && Age < SeedFetchPeriod)
+  if (Sources_.AlwaysFetchFromSeeds && Age < SeedFetchPeriod &&
+      maySeedsKnowMore(Now))
     return true;
   return !complete() && Age >= SeedFetchDelay;
 }
 
+bool ConfigSource::maySeedsKnowMore(TimePoint Now) const {
+  // A seed may have just started, too, and know nothing: ask each of them.
+  const bool IsInformed = AgentsKnown_ && Config_.history().isComplete(Now);
+  return !IsInformed && PeerAnswers_ < Sources_.Seeds.size();
+}
+
 void ConfigSource::onManifests(const std::vector<platform::Object> &Objects,
                                Source From) {
   const auto Continuity = From == Source::Watch ? opaque::Continuity::Unbroken
@@ -198,7 +205,8 @@
 }
 
 void ConfigSource::onPeerState(const platform::PeerState &State) {
-  PeerAnswered_ = true;
+  ++PeerAnswers_;
+  AgentsKnown_ = AgentsKnown_ || State.Agents.IsComplete;
   const bool WasBehind = BehindSince_.has_value();
   BehindSince_.reset();
   const opaque::StoreRevision Revision = Config_.evacuations().revision();
--- a/src/node/configsource.h
+++ b/src/node/configsource.h
@@ -27,7 +27,7 @@
     std::function<void()> OnManifest;
     std::function<void()> OnEvacuations;
     /// Called with the agents that a peer knows.
-    std::function<void(const std::vector<opaque::AgentEntry> &)> OnAgents;
+    std::function<void(const opaque::AgentList &)> OnAgents;
   };
 
   ConfigSource(Services &Shared, StoreHealth &Health, ConfigSources Sources,
@@ -77,6 +77,9 @@
                   int64_t TheirManifest);
 
   bool isSeedFetchDue(TimePoint Now) const;
+  /// Whether seeds may know agents or former services that this process, which
+  /// has just started, does not.
+  bool maySeedsKnowMore(TimePoint Now) const;
 
   Services &Services_;
   ConfigSources Sources_;
@@ -92,7 +95,9 @@
   TimePoint StartedAt_;
   TimePoint NextFetch_{};
   size_t NextSeed_ = 0;
-  bool PeerAnswered_ = false;
+  size_t PeerAnswers_ = 0;
+  /// A peer that knows all agents has answered.
+  bool AgentsKnown_ = false;
   /// Since when a peer has had a newer configuration; unset when none has.
   std::optional<TimePoint> BehindSince_;
 };
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -38,11 +38,11 @@
                          TimePoint Now) = 0;
   virtual void onManifest() {}
   virtual void onEvacuations() {}
-  virtual void onPeerAgents(const std::vector<opaque::AgentEntry> &) {}
+  virtual void onPeerAgents(const opaque::AgentList &) {}
   /// Begins the shutdown. The process calls finish() at the end of it.
   virtual void onStop(TimePoint Now) = 0;
   virtual bool ready() const = 0;
-  virtual std::vector<opaque::AgentEntry> agentsForPeers() const { return {}; }
+  virtual opaque::AgentList agentsForPeers() const { return {}; }
   /// Answers an HTTP request other than those that every process answers
   /// (/ready, /state and /metrics).
   virtual HttpResponse onRequest(const HttpRequest &Request);
--- a/src/node/restoredstore_test.cpp
+++ b/src/node/restoredstore_test.cpp
@@ -125,5 +125,36 @@
   EXPECT_TRUE(comesTrue([&] { return !config().isEvacuated("zone-a"); }));
 }
 
+// Guards against a balancer that takes the answer of a peer which has just
+// started, too, for all there is to know: an open flow was reset.
+TEST_F(RestoredStore, AnotherPeerIsAskedAfterOneThatKnowsNothing) {
+  const auto Serving = [](platform::PeerState State) {
+    State.ManifestContent = manifest(1);
+    return [State](const HttpRequest &) {
+      return jsonResponse(HttpStatus::Ok, platform::encodePeerState(State));
+    };
+  };
+  platform::PeerState Informed;
+  Informed.Agents = {{{"a", "desk", "zone-a", {1, 1}, {1, 2}}}, true};
+  Informed.History.Span = opaque::RouteHistory::DefaultMaxFlowAge;
+  HttpServer NewPeer(Shared.Base.get(), Serving({}));
+  HttpServer OldPeer(Shared.Base.get(), Serving(Informed));
+  const Endpoint NewAddress = {StoreAddress.Ip, 18442};
+  const Endpoint OldAddress = {StoreAddress.Ip, 18443};
+  ASSERT_TRUE(NewPeer.listen(NewAddress) && OldPeer.listen(OldAddress));
+  ConfigSources Sources{
+      {StoreAddress, 20s, platform::Consistency::Serializable},
+      {NewAddress, OldAddress}};
+  Sources.AlwaysFetchFromSeeds = true;
+  opaque::AgentList Heard;
+  Source = std::make_unique<ConfigSource>(
+      Shared, Health, Sources,
+      ConfigSource::Callbacks{[] {}, [] {},
+                              [&](const opaque::AgentList &L) { Heard = L; }});
+  put(1);
+  EXPECT_TRUE(comesTrue([&] { return Heard.IsComplete; }));
+  EXPECT_TRUE(config().history().isComplete(Shared.now()));
+}
+
 } // namespace
 } // namespace dragonflystall::node
--- a/src/opaque/control.h
+++ b/src/opaque/control.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace dragonflystall::opaque {
 
@@ -41,6 +42,14 @@
   friend bool operator==(const AgentEntry &, const AgentEntry &) = default;
 };
 
+/// The agents that a process knows, listed in the store or not.
+struct AgentList {
+  std::vector<AgentEntry> Entries;
+  /// Whether the process is sure to know all agents that may hold flows.
+  bool IsComplete = false;
+  friend bool operator==(const AgentList &, const AgentList &) = default;
+};
+
 /// Balancer to agent, periodically: requests a Pong with the agent's state.
 struct Ping {
   std::string Name; ///< The agent that is addressed.
--- a/src/opaque/restoredstore_test.cpp
+++ b/src/opaque/restoredstore_test.cpp
@@ -71,6 +71,18 @@
   EXPECT_FALSE(Sim.Callers[Flow].Reset);
 }
 
+// Guards against a list of agents that is passed on as complete by a balancer
+// that has itself just read what a restored store has left.
+TEST_F(RestoredStore, ABalancerThatMayLackAgentsDoesNotVouchForItsList) {
+  Sim.HasPeerList = true;
+  Sim.startBalancer(*First);
+  EXPECT_TRUE(First->Core->knowsAllAgents(Sim.Now));
+  First->Core->onAgentsListed({2, 1}, Sim.Now);
+  EXPECT_FALSE(First->Core->knowsAllAgents(Sim.Now));
+  Sim.run(6s);
+  EXPECT_TRUE(First->Core->knowsAllAgents(Sim.Now));
+}
+
 // Guards against an acknowledged evacuation that ends because the store has
 // lost it, and against one that never ends.
 TEST(RestoredEvacuations, AreHeldUntilTheyAreListedAgainOrForAWhile) {
--- a/src/opaque/steering.h
+++ b/src/opaque/steering.h
@@ -101,8 +101,10 @@
   /// a flow may exist although all known agents deny it. The same holds for a
   /// while after the first list of a new era, which may have lost entries.
   void onAgentsListed(StoreRevision Revision, TimePoint Now);
-  /// Call when a peer has sent the agents that it knows, listed or not.
+  /// Call when a peer that knows all agents has sent them, listed or not.
   void onPeerAgentList() { HasPeerList_ = true; }
+  /// Whether no agent that may hold a flow is unknown.
+  bool knowsAllAgents(TimePoint Now) const;
 
   size_t queuedFlows() const { return Queue_.size(); }
   /// Flows that are queued or searched for.
@@ -141,7 +143,6 @@
   /// Offers the last packet to the agents that can't tell. Each packet that
   /// reaches an upstream other than the holder costs that upstream work.
   void offerPacket(Search &Pending, std::vector<DelayedAction> &Actions);
-  bool knowsAllAgents(TimePoint Now) const;
   /// Decides on a search that all queried agents have denied: queries the
   /// agents of all other services if the route may have named one of them
   /// before, else ends the search.
