Held evacuations reach processes that start after the restore

Operators could see: new flows opened in an evacuated zone by an agent that had started after the restore, for as long as the evacuation was not written again. Cause: the evacuation is held by processes that knew it before; a process that starts later reads the store, which does not list it, and by its revision is not behind any peer, so that an agent, which asks no peer at its start, never heard.

Change: configuration versions carry the number of held zones, and a process with fewer of them and other zones is behind.

--- a/src/opaque/control.cpp
+++ b/src/opaque/control.cpp
@@ -22,7 +22,8 @@
 }
 Json toJson(const ConfigVersions &Versions) {
   return {Versions.ManifestVersion, Versions.EvacuationRevision.Number,
-          Versions.EvacuatedZones, Versions.EvacuationRevision.Era};
+          Versions.EvacuatedZones, Versions.EvacuationRevision.Era,
+          Versions.HeldZones};
 }
 Json toJson(const AgentEntry &Entry) {
   return {Entry.Name, Entry.Service, Entry.Zone, toJson(Entry.Packets),
@@ -106,9 +107,11 @@
     Versions.ManifestVersion = Fields.number<int64_t>();
     Versions.EvacuationRevision.Number = Fields.number<int64_t>();
     Versions.EvacuatedZones = Fields.number<uint32_t>();
-    // Processes of earlier versions know no eras.
-    if (!Fields.atEnd())
+    // Processes of earlier versions know no eras and hold no zones.
+    if (!Fields.atEnd()) {
       Versions.EvacuationRevision.Era = Fields.number<int64_t>();
+      Versions.HeldZones = Fields.number<uint32_t>();
+    }
     return Versions;
   }
   AgentEntry entry() {
@@ -197,13 +200,18 @@
   Versions.EvacuationRevision = Config.evacuations().revision();
   for (const std::string &Zone : Config.evacuations().zones())
     Versions.EvacuatedZones ^= static_cast<uint32_t>(agentId(Zone));
+  Versions.HeldZones = Config.evacuations().heldZones();
   return Versions;
 }
 
 bool isBehind(const ConfigVersions &Ours, const ConfigVersions &Theirs) {
-  return Theirs.ManifestVersion > Ours.ManifestVersion ||
-         (Theirs.EvacuationRevision > Ours.EvacuationRevision &&
-          Theirs.EvacuatedZones != Ours.EvacuatedZones);
+  if (Theirs.ManifestVersion > Ours.ManifestVersion)
+    return true;
+  // The store does not tell of the zones that are held.
+  const bool MayKnowMore =
+      Theirs.EvacuationRevision > Ours.EvacuationRevision ||
+      Theirs.HeldZones > Ours.HeldZones;
+  return MayKnowMore && Theirs.EvacuatedZones != Ours.EvacuatedZones;
 }
 
 std::string encode(const ControlMessage &Message) {
--- a/src/opaque/evacuatedzones.cpp
+++ b/src/opaque/evacuatedzones.cpp
@@ -14,18 +14,26 @@
   else if (Newer.Revision.Era < Revision_.Era)
     Lost = Newer.Zones;
   if (Newer.Revision > Revision_) {
+    if (Newer.Revision.Era != Revision_.Era)
+      ListedInEra_.clear();
     Revision_ = Newer.Revision;
     Listed_ = Newer.Zones;
+    ListedInEra_.insert(Listed_.begin(), Listed_.end());
   }
   for (const std::string &Zone : Lost)
-    Held_.emplace(Zone, Now);
+    hold(Zone, Now);
   for (const HeldZone &H : Newer.Held)
-    Held_.emplace(H.Zone, Now - std::max(Duration::zero(), H.Age));
+    hold(H.Zone, Now - std::max(Duration::zero(), H.Age));
   for (const std::string &Zone : Listed_)
     Held_.erase(Zone);
   return zones() != Before;
 }
 
+void EvacuatedZones::hold(const std::string &Zone, TimePoint Since) {
+  if (ListedInEra_.count(Zone) == 0)
+    Held_.emplace(Zone, Since);
+}
+
 bool EvacuatedZones::expire(TimePoint Now) {
   return std::erase_if(Held_, [&](const auto &Held) {
            return Now - Held.second > HoldTime;
--- a/src/opaque/evacuatedzones.h
+++ b/src/opaque/evacuatedzones.h
@@ -39,6 +39,8 @@
   bool expire(TimePoint Now);
 
   StoreRevision revision() const { return Revision_; }
+  /// Number of zones that are evacuated although the store does not list them.
+  size_t heldZones() const { return Held_.size(); }
   bool contains(const std::string &Zone) const {
     return Listed_.count(Zone) > 0 || Held_.count(Zone) > 0;
   }
@@ -48,9 +50,14 @@
   Evacuations state(TimePoint Now) const;
 
 private:
+  void hold(const std::string &Zone, TimePoint Since);
+
   StoreRevision Revision_;
   std::set<std::string> Listed_;
-  /// Zones that are not in Listed_, with the time of the loss.
+  /// Zones that were listed at some time in the era of Revision_. Operators
+  /// have written them again if they were lost.
+  std::set<std::string> ListedInEra_;
+  /// Zones that are not in ListedInEra_, with the time of the loss.
   std::map<std::string, TimePoint> Held_;
 };
 
--- a/src/opaque/restoredstore_test.cpp
+++ b/src/opaque/restoredstore_test.cpp
@@ -121,6 +121,36 @@
   EXPECT_TRUE(Second.expire(Now));
 }
 
+// Guards against flows that an agent opens in an evacuated zone because it has
+// started after the restore: the store does not tell it of the zone.
+TEST(RestoredEvacuations, AProcessThatLacksAHeldZoneIsBehind) {
+  const TimePoint Now{100s};
+  Configuration Living;
+  Living.evacuations().offer({{1, 50}, {"a"}}, Now);
+  Living.evacuations().offer({{2, 20}, {}}, Now);
+  Configuration Started;
+  Started.evacuations().offer({{2, 22}, {}}, Now);
+  EXPECT_TRUE(isBehind(configVersionsOf(Started), configVersionsOf(Living)));
+  Started.evacuations().offer(Living.evacuations().state(Now), Now);
+  EXPECT_TRUE(Started.isEvacuated("a"));
+  EXPECT_FALSE(isBehind(configVersionsOf(Started), configVersionsOf(Living)));
+  EXPECT_FALSE(isBehind(configVersionsOf(Living), configVersionsOf(Started)));
+}
+
+// Guards against a zone that an operator has taken back and that is held again
+// because a peer has not heard of it.
+TEST(RestoredEvacuations, AZoneThatWasTakenBackIsNotHeldAgain) {
+  const TimePoint Now{100s};
+  EvacuatedZones Ours;
+  Ours.offer({{1, 50}, {"a"}}, Now);
+  Ours.offer({{2, 20}, {}}, Now);
+  EvacuatedZones Behind = Ours;
+  Ours.offer({{2, 21}, {"a"}}, Now);
+  Ours.offer({{2, 22}, {}}, Now);
+  Ours.offer(Behind.state(Now), Now);
+  EXPECT_FALSE(Ours.contains("a"));
+}
+
 // Guards against an entry that stays lost: the list that lacks it has a lower
 // revision than the entry had before the restore.
 TEST_F(RestoredStore, AnEntryThatWasLostIsWrittenAgain) {
