Soak: the store comes back from a copy, again and again

The soak had no restore. It copies its store each second; every six seconds the store is away for up to 2 s and comes back from one of the last eight copies, and what operators wrote is written again up to 1.5 s later. Drawn from a random engine of its own, so that the other faults of a seed stay as they are.

No functional change.

--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -11,6 +11,10 @@
 /// Faults before this one are drawn at random.
 constexpr auto RandomFaults = static_cast<size_t>(Fault::ChangeServices);
 constexpr Duration ServiceChangeInterval = 2500ms;
+constexpr Duration RestoreInterval = 6s;
+constexpr Duration CopyInterval = 1s;
+/// The store comes back from one of this number of copies.
+constexpr size_t MaxCopies = 8;
 /// The zone that Fault::Evacuate evacuates.
 const std::string EvacuatedZone = "zone-1";
 
@@ -25,6 +29,11 @@
   }
   for (TimePoint At = From; At < Until; At += ServiceChangeInterval)
     Events_.emplace(At, [this] { inject(Fault::ChangeServices); });
+  for (TimePoint At = From; At < Until; At += CopyInterval)
+    Events_.emplace(At, [this] { copyStore(); });
+  for (TimePoint At = From + RestoreInterval / 2; At < Until;
+       At += RestoreInterval)
+    Events_.emplace(At, [this] { inject(Fault::StoreRestored); });
 }
 
 void Faults::tick(TimePoint Now) {
@@ -97,6 +106,35 @@
   });
 }
 
+void Faults::copyStore() {
+  Copies_.push_back(Fleet_.Store->copy());
+  if (Copies_.size() > MaxCopies)
+    Copies_.pop_front();
+}
+
+void Faults::restoreStore() {
+  const Duration Downtime = randomDuration(50ms, 2s, RestoreRng_);
+  const Duration RewriteDelay = randomDuration(0ms, 1500ms, RestoreRng_);
+  const Store::Copy Copy = Copies_[RestoreRng_() % Copies_.size()];
+  Fleet_.Checker.disturbStore(Shared_.now() + Downtime + RewriteDelay);
+  Fleet_.Store->setFaults({.Down = true});
+  schedule(Downtime, [this, Copy] {
+    Fleet_.Store->restore(Copy);
+    Fleet_.Store->setFaults({});
+    Copies_ = {Copy};
+  });
+  schedule(Downtime + RewriteDelay, [this] { writeAgain(); });
+}
+
+void Faults::writeAgain() {
+  using platform::ObjectKind;
+  Fleet_.writeManifest();
+  if (IsEvacuated_)
+    Fleet_.Store->put(ObjectKind::Evacuation, EvacuatedZone, "{}");
+  else
+    Fleet_.Store->remove(ObjectKind::Evacuation, EvacuatedZone);
+}
+
 void Faults::impairRelay(Relay &Target, Duration Length) {
   Target.setMode(
       static_cast<RelayMode>(1 + Rng_() % (RelayModeNames.size() - 1)));
@@ -141,13 +179,15 @@
 
 void Faults::evacuate() {
   using platform::ObjectKind;
-  if (!Fleet_.Store->names(ObjectKind::Evacuation).empty())
+  if (IsEvacuated_)
     return;
+  IsEvacuated_ = true;
   Fleet_.Store->put(ObjectKind::Evacuation, EvacuatedZone, "{}");
   Fleet_.Checker.onEvacuation(EvacuatedZone, Shared_.now());
   schedule(randomDuration(6s, 10s), [this] {
     // The checker is notified first: flows may open in the zone from now on.
     Fleet_.Checker.onEvacuationEnd(EvacuatedZone);
+    IsEvacuated_ = false;
     Fleet_.Store->remove(ObjectKind::Evacuation, EvacuatedZone);
   });
 }
@@ -215,6 +255,9 @@
   case Fault::ChangeServices:
     changeServices();
     return record(Kind, "desk");
+  case Fault::StoreRestored:
+    restoreStore();
+    return record(Kind, "store");
   case Fault::BadPaths:
     Fleet_.Callers->Path = {0.05, 0.02, 20ms};
     schedule(Length, [this] { Fleet_.Callers->Path = {}; });
--- a/soak/faults.h
+++ b/soak/faults.h
@@ -33,8 +33,9 @@
   DropRoute,
   BadPaths,
   ChangeServices,
+  StoreRestored,
 };
-constexpr std::array<std::string_view, 22> FaultNames = {"kill-balancer",
+constexpr std::array<std::string_view, 23> FaultNames = {"kill-balancer",
                                                          "stop-balancer",
                                                          "pause-balancer",
                                                          "kill-agent",
@@ -55,7 +56,8 @@
                                                          "evacuate",
                                                          "drop-route",
                                                          "bad-paths",
-                                                         "change-services"};
+                                                         "change-services",
+                                                         "store-restored"};
 constexpr std::string_view name(Fault Kind) {
   return FaultNames[static_cast<size_t>(Kind)];
 }
@@ -63,10 +65,11 @@
 class Faults {
 public:
   Faults(node::Services &Shared, Fleet &Deployment, uint64_t Seed)
-      : Shared_(Shared), Fleet_(Deployment), Rng_(Seed), ServiceRng_(~Seed) {}
+      : Shared_(Shared), Fleet_(Deployment), Rng_(Seed), ServiceRng_(~Seed),
+        RestoreRng_(Seed << 1) {}
 
-  /// Schedules random faults that begin between the two times, and changes of
-  /// a route's services beside them.
+  /// Schedules random faults that begin between the two times, and beside them
+  /// changes of a route's services and restores of the store.
   void plan(TimePoint From, TimePoint Until, Duration MeanInterval);
   /// Whether all faults have begun and ended.
   bool isFinished() const { return Events_.empty(); }
@@ -85,6 +88,11 @@
   void pause(Node &Instance, Duration Length);
   void killAll();
   void impairStore(const StoreFaults &Impairment, Duration Length);
+  void copyStore();
+  /// The store is away, and comes back from a copy that is some seconds old.
+  void restoreStore();
+  /// Writes again what operators wrote and the store may have lost.
+  void writeAgain();
   void impairRelay(Relay &Target, Duration Length);
   void release(Host &Target);
   void reuse(Host &Target);
@@ -101,7 +109,10 @@
     return From[Rng_() % From.size()];
   }
   Duration randomDuration(Duration Min, Duration Max) {
-    return Min + (Max - Min) * static_cast<int>(Rng_() % 1000) / 1000;
+    return randomDuration(Min, Max, Rng_);
+  }
+  static Duration randomDuration(Duration Min, Duration Max, Random &Rng) {
+    return Min + (Max - Min) * static_cast<int>(Rng() % 1000) / 1000;
   }
   void record(Fault Kind, const std::string &Target);
 
@@ -111,6 +122,9 @@
   /// For changes of services alone, so that these leave the faults of a seed as
   /// they are.
   Random ServiceRng_;
+  Random RestoreRng_;              ///< For restores alone, for the same reason.
+  std::deque<Store::Copy> Copies_; ///< Of the last seconds, oldest first.
+  bool IsEvacuated_ = false; ///< Whether operators have evacuated the zone.
   std::multimap<TimePoint, Action> Events_;
   std::map<std::string, int> Counts_;
 };
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -200,9 +200,13 @@
 
 void Fleet::publish() {
   Manifest.Version += 1 + Shared_.Rng() % 5;
+  writeManifest();
+  Checker.onManifest(Manifest, Shared_.now());
+}
+
+void Fleet::writeManifest() {
   Store->put(platform::ObjectKind::Manifest, "main",
              platform::encodeManifest(Manifest));
-  Checker.onManifest(Manifest, Shared_.now());
 }
 
 void Fleet::checkReady(TimePoint Now) {
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -66,6 +66,8 @@
   void reuse(Host &Target);
   /// Writes the manifest to the store under a new version.
   void publish();
+  /// Writes the manifest to the store as it is.
+  void writeManifest();
   std::string newUpstreamId() { return fmt::format("upstream-{}", ++LastId_); }
 
   std::deque<Node> Balancers;
