--- a/src/node/balancer.cpp
+++ b/src/node/balancer.cpp
@@ -38,34 +38,10 @@
            platform::Consistency::Serializable},
           platform::ObjectKind::Agent,
           {[this](const platform::Page &P, bool First) {
-             if (First)
-               ListedAgents_.clear();
-             for (const platform::Object &O : P.Objects)
-               if (auto Entry = platform::decodeAgent(O))
-                 ListedAgents_.push_back(
-                     {std::move(*Entry), {Health_.era(), O.Revision}});
+             onAgentPage(P, First);
            },
-           [this] {
-             Agents_.listAll(ListedAgents_, Services_.now());
-             Agents_.onListedAsOf(AgentWatcher_.revision());
-             Services_.log(LogClass::State, "agents-listed")
-                 .number("count", ListedAgents_.size())
-                 .number("revision", AgentWatcher_.revision().Number)
-                 .number("era", Health_.era());
-             ListedAgents_.clear();
-             AgentsKnown_ = true;
-             Steering_.onAgentsListed(AgentWatcher_.revision(),
-                                      Services_.now());
-             NextPing_ = {};
-           },
-           [this](const platform::Changes &C) {
-             for (const platform::Change &Event : C.Events)
-               if (Event.Removed)
-                 Agents_.unlist(Event.Item.Name);
-               else
-                 onAgentObject(Event.Item);
-             Agents_.onListedAsOf(AgentWatcher_.revision());
-           }}),
+           [this] { onAgentsListed(); },
+           [this](const platform::Changes &C) { onAgentChanges(C); }}),
       RemoveChannel_(Services_.Base.get(), Initial.Store),
       AgentsAlive_(Services_.Counts.gauge(
           {"dragonflystall_agents_alive", "Agents that answer pings.", ""})),
@@ -91,13 +67,51 @@
   AgentWatcher_.poll(Services_.now());
 }
 
-void Balancer::onAgentObject(const platform::Object &Listed) {
-  const auto Entry = platform::decodeAgent(Listed);
-  if (!Entry) {
+void Balancer::onAgentPage(const platform::Page &Page, bool First) {
+  if (First)
+    ListedAgents_.clear();
+  for (const platform::Object &Item : Page.Objects)
+    if (auto Entry = readEntry(Item))
+      ListedAgents_.push_back(
+          {std::move(*Entry), {Health_.era(), Item.Revision}});
+}
+
+void Balancer::onAgentsListed() {
+  const opaque::StoreRevision Revision = AgentWatcher_.revision();
+  Agents_.listAll(ListedAgents_, Services_.now());
+  Agents_.onListedAsOf(Revision);
+  Services_.log(LogClass::State, "agents-listed")
+      .number("count", ListedAgents_.size())
+      .number("revision", Revision.Number)
+      .number("era", Revision.Era);
+  ListedAgents_.clear();
+  AgentsKnown_ = true;
+  Steering_.onAgentsListed(Revision, Services_.now());
+  NextPing_ = {};
+}
+
+void Balancer::onAgentChanges(const platform::Changes &Changes) {
+  for (const platform::Change &Event : Changes.Events)
+    if (Event.Removed)
+      Agents_.unlist(Event.Item.Name);
+    else
+      onAgentObject(Event.Item);
+  Agents_.onListedAsOf(AgentWatcher_.revision());
+}
+
+std::optional<opaque::AgentEntry>
+Balancer::readEntry(const platform::Object &Listed) {
+  auto Entry = platform::decodeAgent(Listed);
+  if (!Entry)
     Services_.log(LogClass::Notable, "agent-entry-unreadable")
         .text("name", Listed.Name);
+  return Entry;
+}
+
+void Balancer::onAgentObject(const platform::Object &Listed) {
+  const auto Entry = readEntry(Listed);
+  if (!Entry)
     return;
-  }
   if (!Agents_.find(Entry->Name))
     NextPing_ = {};
   Agents_.list(*Entry, {Health_.era(), Listed.Revision}, Services_.now());
--- a/src/node/balancer.h
+++ b/src/node/balancer.h
@@ -40,7 +40,13 @@
   void updateReading(TimePoint Now);
   /// Removes one dead agent's entry from the store.
   void removeDead(TimePoint Now);
+  // What the store tells of the agents' entries.
+  void onAgentPage(const platform::Page &Page, bool First);
+  void onAgentsListed();
+  void onAgentChanges(const platform::Changes &Changes);
   void onAgentObject(const platform::Object &Listed);
+  /// Logs an object that is not a valid entry.
+  std::optional<opaque::AgentEntry> readEntry(const platform::Object &Listed);
 
   opaque::Directory Agents_;
   opaque::Steering Steering_;
--- /dev/null
+++ b/src/opaque/storewatch_test.cpp
@@ -0,0 +1,139 @@
+// Calls to the store: watches that are interrupted, writes whose answer is
+// lost.
+#include "opaque/registration.h"
+#include "opaque/storewatch.h"
+
+#include <gtest/gtest.h>
+
+namespace dragonflystall::opaque::test {
+namespace {
+
+TEST(StoreWatch, ListsWatchesAndListsAgainWhenTheHistoryIsGone) {
+  StoreWatch Watch(1);
+  TimePoint Now{1s};
+  EXPECT_FALSE(Watch.next(Now)->WatchFrom);
+  EXPECT_FALSE(Watch.next(Now));
+  Watch.onPage({1, 10}, true, "m");
+  EXPECT_FALSE(Watch.listed());
+  EXPECT_EQ(Watch.next(Now)->AfterName, "m");
+  Watch.onPage({1, 12}, false, "z");
+  // From the revision of the first page: changes between the pages arrive as
+  // events.
+  EXPECT_EQ(Watch.next(Now)->WatchFrom, 10);
+  Watch.onEvents({1, 20}, Now);
+  EXPECT_EQ(Watch.next(Now)->WatchFrom, 20);
+  Watch.restart();
+  EXPECT_FALSE(Watch.next(Now)->WatchFrom);
+}
+
+// Guards against a list that is put together from pages of before and after the
+// store came back from a copy, and a watch that goes on from a revision of
+// before.
+TEST(StoreWatch, DoesNotContinueInAnotherEra) {
+  StoreWatch Watch(1);
+  TimePoint Now{1s};
+  EXPECT_FALSE(Watch.isOfAnotherEra(2));
+  EXPECT_TRUE(Watch.next(Now));
+  Watch.onPage({1, 10}, true, "m");
+  EXPECT_FALSE(Watch.isOfAnotherEra(1));
+  EXPECT_TRUE(Watch.isOfAnotherEra(2));
+  EXPECT_TRUE(Watch.next(Now));
+  Watch.onPage({1, 10}, false, "z");
+  EXPECT_TRUE(Watch.isOfAnotherEra(2));
+  Watch.restart();
+  EXPECT_FALSE(Watch.isOfAnotherEra(2));
+}
+
+// The store may have come back from a copy while it did not answer.
+TEST(StoreWatch, AsksForTheEraAfterAFailure) {
+  StoreWatch Watch(1);
+  TimePoint Now{1s};
+  Watch.setPause(2s);
+  EXPECT_TRUE(Watch.next(Now));
+  Watch.onPage({1, 10}, false, "z");
+  EXPECT_FALSE(Watch.next(Now)->IsProbe);
+  Watch.onFailure(Now);
+  Now += 1s;
+  EXPECT_TRUE(Watch.next(Now)->IsProbe);
+  Watch.onEvents({1, 10}, Now);
+  // Without a pause, since the probe has not waited for events.
+  const auto Next = Watch.next(Now);
+  ASSERT_TRUE(Next);
+  EXPECT_FALSE(Next->IsProbe);
+}
+
+TEST(StoreWatch, BacksOffWhileTheStoreIsUnavailable) {
+  StoreWatch Watch(1);
+  TimePoint Now{1s};
+  int Calls = 0;
+  for (int I = 0; I < 300; ++I, Now += 100ms)
+    if (Watch.next(Now)) {
+      ++Calls;
+      Watch.onFailure(Now);
+    }
+  EXPECT_LT(Calls, 50);
+  EXPECT_GT(Calls, 15);
+}
+
+struct Registering : testing::Test {
+  Registration Registered{1};
+  AgentEntry Entry = {"a", "desk", "zone-0", {1, 1}, {1, 2}};
+  TimePoint Now{1s};
+  using Call = Registration::Call;
+  void SetUp() override { Registered.setWanted(Entry); }
+};
+
+TEST_F(Registering, AfterALostAnswerTheEntryIsReadBeforeARetry) {
+  EXPECT_EQ(Registered.next(Now), Call::Create);
+  Registered.onUnknown(Now);
+  EXPECT_EQ(Registered.next(Now), std::nullopt);
+  Now += 2s;
+  EXPECT_EQ(Registered.next(Now), Call::Read);
+  Registered.onStored(Entry, {1, 5});
+  EXPECT_EQ(Registered.next(Now), std::nullopt);
+}
+
+TEST_F(Registering, AnOldEntryIsReplaced) {
+  EXPECT_EQ(Registered.next(Now), Call::Create);
+  AgentEntry Old = Entry;
+  Old.Service = "print";
+  Registered.onStored(Old, {1, 4});
+  EXPECT_EQ(Registered.next(Now), Call::Replace);
+  Registered.onStored(Entry, {1, 5});
+  EXPECT_TRUE(Registered.isSettled());
+}
+
+TEST_F(Registering, AMissingEntryIsCreatedAgain) {
+  Registered.next(Now);
+  Registered.onStored(Entry, {1, 5});
+  Registered.onMissing({1, 4});
+  EXPECT_TRUE(Registered.isSettled());
+  Registered.onMissing({1, 9});
+  EXPECT_EQ(Registered.next(Now), Call::Create);
+}
+
+TEST_F(Registering, AnEntryOfAnEarlierStartIsRemoved) {
+  Registered.setWanted(std::nullopt);
+  EXPECT_EQ(Registered.next(Now), std::nullopt);
+  Registered.markUnknown();
+  EXPECT_EQ(Registered.next(Now), Call::Read);
+  Registered.onStored(Entry, {1, 5});
+  EXPECT_EQ(Registered.next(Now), Call::Remove);
+  Registered.onAbsent();
+  EXPECT_TRUE(Registered.isSettled());
+}
+
+TEST_F(Registering, LeavingRemovesTheEntry) {
+  Registered.next(Now);
+  Registered.onStored(Entry, {1, 5});
+  Registered.setWanted(std::nullopt);
+  EXPECT_EQ(Registered.next(Now), Call::Remove);
+  Registered.onUnknown(Now);
+  Now += 2s;
+  EXPECT_EQ(Registered.next(Now), Call::Read);
+  Registered.onAbsent();
+  EXPECT_TRUE(Registered.isSettled());
+}
+
+} // namespace
+} // namespace dragonflystall::opaque::test
