A balancer behind the manifest does not reset flows of services it can't know

Callers could see: a reset of an open flow within a second or so of a change of its route. Cause: the flow opened at a service that the newest manifest names; another balancer, which had not heard of that manifest yet, asked the agents of the services that it knew, all denied, and its history counted as complete. After a restore processes are behind for up to two seconds.

Change: agents answer a search with the newest version of the manifest that they have or that balancers have told them; a balancer with an older one takes its search for incomplete, in silence. The log of lost searches has reported_manifest.

Weighed: fetching the newer manifest before the search ends (it comes within a second anyway, and the caller's next packet searches anew).

Test: WeightedRoutes.ABalancerBehindTheManifestDoesNotResetTheFlow failed before.

--- a/src/node/agent.cpp
+++ b/src/node/agent.cpp
@@ -245,8 +245,10 @@
                       TimePoint Now) {
   if (const auto *Search = std::get_if<opaque::Find>(&Message)) {
     if (const auto Verdict = Gate_.holding(Search->Flow, Now))
-      sendControl(From, opaque::Located{Settings_.Name, Search->Flow, *Verdict,
-                                        NewestEntry_});
+      sendControl(From,
+                  opaque::Located{
+                      Settings_.Name, Search->Flow, *Verdict, NewestEntry_,
+                      std::max(NewestManifest_, config().manifest().Version)});
     return;
   }
   const auto *Ping = std::get_if<opaque::Ping>(&Message);
@@ -254,6 +256,7 @@
     return;
   Balancers_.onPing(From, Now);
   NewestEntry_ = std::max(NewestEntry_, Ping->NewestEntry);
+  NewestManifest_ = std::max(NewestManifest_, Ping->Versions.ManifestVersion);
   if (Ping->MissingAsOf.isSet())
     Registration_.onMissing(Ping->MissingAsOf);
   Config_.onPeerVersions(Ping->Versions, Ping->Http, Now);
--- a/src/node/agent.h
+++ b/src/node/agent.h
@@ -62,6 +62,8 @@
   opaque::PingingBalancers Balancers_;
   /// The newest entry that a balancer has reported; see Ping::NewestEntry.
   opaque::StoreRevision NewestEntry_;
+  /// The newest manifest that a balancer has reported; see Located.
+  int64_t NewestManifest_ = 0;
   opaque::Intake ReportedIntake_ = opaque::Intake::Unready;
   TimePoint NextHello_{};
   bool EntryRemoved_ = false;
--- a/src/node/balancer.cpp
+++ b/src/node/balancer.cpp
@@ -200,7 +200,8 @@
         .number("history_complete", Outcome->HistoryComplete)
         .number("widened", Outcome->Widened)
         .text("known_as_of", toString(Outcome->KnownAsOf))
-        .text("reported_entry", toString(Outcome->ReportedEntry));
+        .text("reported_entry", toString(Outcome->ReportedEntry))
+        .number("reported_manifest", Outcome->ReportedManifest);
   if (!Action.Target)
     return;
   Line.text("agent", Action.Target->Entry.Name)
--- a/src/opaque/control.cpp
+++ b/src/opaque/control.cpp
@@ -65,7 +65,8 @@
           toJson(Message.Flow.Route),
           Message.Verdict,
           Message.NewestEntry.Number,
-          Message.NewestEntry.Era};
+          Message.NewestEntry.Era,
+          Message.NewestManifest};
 }
 Json toJson(const Hello &H) { return {Kind::Hello, toJson(H.Entry)}; }
 
@@ -187,8 +188,10 @@
   // Agents of earlier versions do not report what follows.
   if (!Fields.atEnd())
     Message.NewestEntry.Number = Fields.number<int64_t>();
-  if (!Fields.atEnd())
+  if (!Fields.atEnd()) {
     Message.NewestEntry.Era = Fields.number<int64_t>();
+    Message.NewestManifest = Fields.number<int64_t>();
+  }
   return Message;
 }
 
--- a/src/opaque/control.h
+++ b/src/opaque/control.h
@@ -132,6 +132,9 @@
   /// The revision of the newest entry of an agent that any balancer has
   /// reported. A balancer that knows only older ones may not know the holder.
   StoreRevision NewestEntry = {};
+  /// The newest version of the manifest that the agent or any balancer has. A
+  /// balancer with an older one may not know the holder's service.
+  int64_t NewestManifest = 0;
 };
 
 /// Agent to a seed balancer, while the agent can't be listed in the store.
--- a/src/opaque/opaqueparts_test.cpp
+++ b/src/opaque/opaqueparts_test.cpp
@@ -143,7 +143,7 @@
   case 2:
     return Find{Flow};
   case 3:
-    return Located{"a", Flow, Holding::Denies, {2, 8}};
+    return Located{"a", Flow, Holding::Denies, {2, 8}, 9};
   default:
     return Hello{Entry};
   }
--- a/src/opaque/opaquesimulation_test.h
+++ b/src/opaque/opaquesimulation_test.h
@@ -44,8 +44,9 @@
   AgentEntry Entry;
   FakeUpstream LocalUpstream;
   bool Running = true;
-  StoreRevision NewestEntry; ///< As reported by balancers.
-  TimePoint RunningSince{};  ///< Start of the agent.
+  StoreRevision NewestEntry;  ///< As reported by balancers.
+  int64_t NewestManifest = 0; ///< The same.
+  TimePoint RunningSince{};   ///< Start of the agent.
   Intake Reported = Intake::Unready;
   Configuration Config;
   std::unique_ptr<Upstream> UpstreamState;
@@ -106,6 +107,10 @@
   bool HasPeerHistory = true;
   /// Processes that start know that no flows existed before.
   bool FirstStart = true;
+  /// Tells a balancer that starts of the agents, in place of a list of all.
+  std::function<void(FakeBalancer &)> ListAgents;
+  /// What processes that start read from the store, if not SharedManifest.
+  std::optional<Manifest> StoredManifest;
 
   FakeHost &addHost(const std::string &Service) {
     FakeHost &Host = Hosts.emplace_back();
@@ -166,16 +171,22 @@
     Balancer.Agents = std::make_unique<Directory>("zone-0", Rng());
     Balancer.Core = std::make_unique<Steering>(Balancer.Config,
                                                *Balancer.Agents, 1000, Now);
+    if (ListAgents)
+      return ListAgents(Balancer);
     for (const FakeHost &Host : Hosts)
       Balancer.Agents->list(Host.Entry, {1, 1}, Now);
     Balancer.Core->onAgentsListed({1, 1}, Now);
     if (HasPeerList)
       Balancer.Core->onPeerAgentList();
   }
-  void publish() {
+  /// Makes SharedManifest the newest one; no process has it yet.
+  void beginVersion() {
     ++SharedManifest.Version;
     recordServices();
     expireFlowsOfDroppedRoutes();
+  }
+  void publish() {
+    beginVersion();
     for (FakeHost &Host : Hosts)
       Host.Config.offer(SharedManifest, Continuity::Unbroken, Now);
     for (FakeBalancer &Balancer : Balancers)
@@ -186,7 +197,8 @@
     Config = Configuration();
     if (FirstStart)
       Config.history().onFirstStart(Now);
-    Config.offer(SharedManifest, Continuity::Gap, Now);
+    Config.offer(StoredManifest ? *StoredManifest : SharedManifest,
+                 Continuity::Gap, Now);
   }
 
   static Endpoint address(const FakeHost &Host) {
@@ -354,7 +366,9 @@
     const auto Verdict = Host->PacketGate->holding(Flow, Now);
     if (!Verdict)
       return;
-    const Located Answer = {Name, Flow, *Verdict, Host->NewestEntry};
+    const Located Answer = {
+        Name, Flow, *Verdict, Host->NewestEntry,
+        std::max(Host->NewestManifest, Host->Config.manifest().Version)};
     later([this, &Balancer, Answer] {
       if (Balancer.Running)
         carryOut(Balancer, Balancer.Core->onLocated(Answer, Now));
@@ -518,11 +532,13 @@
     for (const auto &[Name, A] : Balancer.Agents->agents()) {
       Balancer.Agents->onPingSent(*A, Now);
       later([this, &Balancer, Name = Name,
-             Newest = Balancer.Agents->newestEntry()] {
+             Newest = Balancer.Agents->newestEntry(),
+             Version = Balancer.Config.manifest().Version] {
         FakeHost *Host = running(Name);
         if (!Host)
           return;
         Host->NewestEntry = std::max(Host->NewestEntry, Newest);
+        Host->NewestManifest = std::max(Host->NewestManifest, Version);
         pong(Balancer, *Host);
       });
     }
--- a/src/opaque/search.h
+++ b/src/opaque/search.h
@@ -25,8 +25,9 @@
   bool Incomplete = false;
   /// Whether the agents of all other services were queried as well.
   bool Widened = false;
-  size_t Offers = 0;           ///< Number of packets offered to unsure agents.
-  StoreRevision ReportedEntry; ///< The greatest Located::NewestEntry.
+  size_t Offers = 0;            ///< Number of packets offered to unsure agents.
+  StoreRevision ReportedEntry;  ///< The greatest Located::NewestEntry.
+  int64_t ReportedManifest = 0; ///< The greatest Located::NewestManifest.
   std::vector<HeldPacket> HeldPackets;
 
   bool isDenied() const {
--- a/src/opaque/steering.cpp
+++ b/src/opaque/steering.cpp
@@ -266,6 +266,7 @@
   Outcome.Widened = Pending.Widened;
   Outcome.KnownAsOf = Agents_.knownAsOf();
   Outcome.ReportedEntry = Pending.ReportedEntry;
+  Outcome.ReportedManifest = Pending.ReportedManifest;
   return Outcome;
 }
 
@@ -343,8 +344,12 @@
     return Actions;
   Pending->ReportedEntry =
       std::max(Pending->ReportedEntry, Message.NewestEntry);
-  // The flow may be at an agent that this balancer has not heard of.
-  if (Message.NewestEntry > Agents_.knownAsOf())
+  Pending->ReportedManifest =
+      std::max(Pending->ReportedManifest, Message.NewestManifest);
+  // The flow may be at an agent, or of a service, that this balancer has not
+  // heard of.
+  if (Message.NewestEntry > Agents_.knownAsOf() ||
+      Message.NewestManifest > Config_.manifest().Version)
     Pending->Incomplete = true;
   if (Message.Verdict == Holding::Unsure) {
     // A packet may not be offered to a service that, as far as is known, the
--- a/src/opaque/steering.h
+++ b/src/opaque/steering.h
@@ -46,8 +46,9 @@
   /// Whether the route history covers the greatest age of a flow.
   bool HistoryComplete = false;
   bool Widened = false;
-  StoreRevision KnownAsOf;     ///< Directory::knownAsOf().
-  StoreRevision ReportedEntry; ///< The greatest Located::NewestEntry.
+  StoreRevision KnownAsOf;      ///< Directory::knownAsOf().
+  StoreRevision ReportedEntry;  ///< The greatest Located::NewestEntry.
+  int64_t ReportedManifest = 0; ///< The greatest Located::NewestManifest.
 };
 
 /// The decision on one packet.
--- a/src/opaque/weightedroutes_test.cpp
+++ b/src/opaque/weightedroutes_test.cpp
@@ -248,6 +248,26 @@
   EXPECT_FALSE(Sim.Callers[Flow].Reset);
 }
 
+// Guards against a reset of an open flow by a balancer whose manifest does not
+// name the flow's service yet.
+TEST_F(WeightedRoutes, ABalancerBehindTheManifestDoesNotResetTheFlow) {
+  Sim.SharedManifest.Routes[DeskRoute].Services = {{"print", 1}};
+  Sim.beginVersion();
+  for (FakeHost &Host : Sim.Hosts)
+    if (Host.Entry.Service == "print")
+      Host.Config.offer(Sim.SharedManifest, Continuity::Unbroken, Sim.Now);
+  First->Config.offer(Sim.SharedManifest, Continuity::Unbroken, Sim.Now);
+  Sim.run(1s);
+  const FlowId Flow = Sim.open(*First, DeskRoute);
+  Sim.sendData(*Second, Flow, 11);
+  Sim.run(700ms);
+  EXPECT_FALSE(Sim.Callers[Flow].Reset);
+  Second->Config.offer(Sim.SharedManifest, Continuity::Unbroken, Sim.Now);
+  Sim.sendData(*Second, Flow, 11);
+  Sim.run(50ms);
+  EXPECT_TRUE(Sim.Callers[Flow].Answered);
+}
+
 TEST_F(WeightedRoutes, APacketForAnotherAgentIsRefused) {
   const FlowId Flow = Sim.open(*First, DeskRoute);
   FakeHost &Holder = *Sim.holder(Flow);
