Held evacuations of the process that knows the lost era best prevail

Change: held zones carry the revision of the era before as of which they are known. Whoever knows that era up to a greater revision prevails, with or without held zones; a process is behind only a peer that knows it better, and takes its state once. This takes the place of the number of held zones.

Test: RestoredEvacuations.AProcessThatWasAwayDoesNotBringBackAZone failed before. AZoneThatWasTakenBackIsNotHeldAgain and the others hold.

--- a/src/opaque/control.cpp
+++ b/src/opaque/control.cpp
@@ -22,8 +22,8 @@
 }
 Json toJson(const ConfigVersions &Versions) {
   return {Versions.ManifestVersion, Versions.EvacuationRevision.Number,
-          Versions.EvacuatedZones, Versions.EvacuationRevision.Era,
-          Versions.HeldZones};
+          Versions.EvacuatedZones,  Versions.EvacuationRevision.Era,
+          Versions.HeldAsOf.Number, Versions.HeldAsOf.Era};
 }
 Json toJson(const AgentEntry &Entry) {
   return {Entry.Name, Entry.Service, Entry.Zone, toJson(Entry.Packets),
@@ -111,7 +111,8 @@
     // Processes of earlier versions know no eras and hold no zones.
     if (!Fields.atEnd()) {
       Versions.EvacuationRevision.Era = Fields.number<int64_t>();
-      Versions.HeldZones = Fields.number<uint32_t>();
+      Versions.HeldAsOf.Number = Fields.number<int64_t>();
+      Versions.HeldAsOf.Era = Fields.number<int64_t>();
     }
     return Versions;
   }
@@ -203,7 +204,7 @@
   Versions.EvacuationRevision = Config.evacuations().revision();
   for (const std::string &Zone : Config.evacuations().zones())
     Versions.EvacuatedZones ^= static_cast<uint32_t>(agentId(Zone));
-  Versions.HeldZones = Config.evacuations().heldZones();
+  Versions.HeldAsOf = Config.evacuations().heldAsOf();
   return Versions;
 }
 
@@ -213,7 +214,7 @@
   // The store does not tell of the zones that are held.
   const bool MayKnowMore =
       Theirs.EvacuationRevision > Ours.EvacuationRevision ||
-      Theirs.HeldZones > Ours.HeldZones;
+      Theirs.HeldAsOf > Ours.HeldAsOf;
   return MayKnowMore && Theirs.EvacuatedZones != Ours.EvacuatedZones;
 }
 
--- a/src/opaque/control.h
+++ b/src/opaque/control.h
@@ -23,8 +23,8 @@
   /// Hash of the evacuated zones, since the revision alone changes all the
   /// time.
   uint32_t EvacuatedZones = 0;
-  /// Number of zones that are held; see EvacuatedZones.
-  uint32_t HeldZones = 0;
+  /// See Evacuations::HeldAsOf.
+  StoreRevision HeldAsOf = {};
 };
 
 ConfigVersions configVersionsOf(const Configuration &Config);
--- a/src/opaque/evacuatedzones.cpp
+++ b/src/opaque/evacuatedzones.cpp
@@ -5,33 +5,45 @@
 
 namespace dragonflystall::opaque {
 
-bool EvacuatedZones::offer(const Evacuations &Newer, TimePoint Now) {
+bool EvacuatedZones::offer(const Evacuations &Offered, TimePoint Now) {
   const std::set<std::string> Before = zones();
-  // The older one of two eras may have evacuations that the later one lost.
-  std::set<std::string> Lost;
-  if (Revision_.isSet() && Revision_.Era < Newer.Revision.Era)
-    Lost = Listed_;
-  else if (Newer.Revision.Era < Revision_.Era)
-    Lost = Newer.Zones;
-  if (Newer.Revision > Revision_) {
-    if (Newer.Revision.Era != Revision_.Era)
-      ListedInEra_.clear();
-    Revision_ = Newer.Revision;
-    Listed_ = Newer.Zones;
-    ListedInEra_.insert(Listed_.begin(), Listed_.end());
+  if (Offered.Revision.Era < Revision_.Era) {
+    // The peer has not noticed the restore: the zones may be lost.
+    std::vector<HeldZone> Lost;
+    for (const std::string &Zone : Offered.Zones)
+      Lost.push_back({Zone, Duration::zero()});
+    takeHeld(Lost, Offered.Revision, Now);
+    return zones() != Before;
   }
-  for (const std::string &Zone : Lost)
-    hold(Zone, Now);
-  for (const HeldZone &H : Newer.Held)
-    hold(H.Zone, Now - std::max(Duration::zero(), H.Age));
+  if (Offered.Revision > Revision_)
+    takeListed(Offered, Now);
+  takeHeld(Offered.Held, Offered.HeldAsOf, Now);
+  return zones() != Before;
+}
+
+void EvacuatedZones::takeListed(const Evacuations &Newer, TimePoint Now) {
+  if (Revision_.isSet() && Revision_.Era != Newer.Revision.Era) {
+    for (const std::string &Zone : Listed_)
+      Held_.emplace(Zone, Now);
+    HeldAsOf_ = Revision_;
+    ListedInEra_.clear();
+  }
+  Revision_ = Newer.Revision;
+  Listed_ = Newer.Zones;
+  ListedInEra_.insert(Listed_.begin(), Listed_.end());
   for (const std::string &Zone : Listed_)
     Held_.erase(Zone);
-  return zones() != Before;
 }
 
-void EvacuatedZones::hold(const std::string &Zone, TimePoint Since) {
-  if (ListedInEra_.count(Zone) == 0)
-    Held_.emplace(Zone, Since);
+void EvacuatedZones::takeHeld(const std::vector<HeldZone> &Held,
+                              StoreRevision AsOf, TimePoint Now) {
+  if (AsOf <= HeldAsOf_)
+    return;
+  HeldAsOf_ = AsOf;
+  Held_.clear();
+  for (const HeldZone &H : Held)
+    if (ListedInEra_.count(H.Zone) == 0)
+      Held_.emplace(H.Zone, Now - std::max(Duration::zero(), H.Age));
 }
 
 bool EvacuatedZones::expire(TimePoint Now) {
@@ -48,7 +60,7 @@
 }
 
 Evacuations EvacuatedZones::state(TimePoint Now) const {
-  Evacuations State{Revision_, Listed_};
+  Evacuations State{Revision_, Listed_, {}, HeldAsOf_};
   for (const auto &[Zone, Since] : Held_)
     State.Held.push_back({Zone, Now - Since});
   return State;
--- a/src/opaque/evacuatedzones.h
+++ b/src/opaque/evacuatedzones.h
@@ -24,6 +24,9 @@
   StoreRevision Revision;
   std::set<std::string> Zones; ///< As listed by the store.
   std::vector<HeldZone> Held = {};
+  /// The revision of the era before as of which Held is known; not set if it is
+  /// not known.
+  StoreRevision HeldAsOf = {};
 };
 
 class EvacuatedZones {
@@ -34,13 +37,13 @@
 
   /// Takes what is newer, from the store or a peer. Returns whether zones()
   /// has changed.
-  bool offer(const Evacuations &Newer, TimePoint Now);
+  bool offer(const Evacuations &Offered, TimePoint Now);
   /// Call regularly: ends holds. Returns whether zones() has changed.
   bool expire(TimePoint Now);
 
   StoreRevision revision() const { return Revision_; }
-  /// Number of zones that are evacuated although the store does not list them.
-  size_t heldZones() const { return Held_.size(); }
+  /// See Evacuations::HeldAsOf.
+  StoreRevision heldAsOf() const { return HeldAsOf_; }
   bool contains(const std::string &Zone) const {
     return Listed_.count(Zone) > 0 || Held_.count(Zone) > 0;
   }
@@ -50,7 +53,10 @@
   Evacuations state(TimePoint Now) const;
 
 private:
-  void hold(const std::string &Zone, TimePoint Since);
+  void takeListed(const Evacuations &Newer, TimePoint Now);
+  /// Takes the held zones of a process that knows the era before better.
+  void takeHeld(const std::vector<HeldZone> &Held, StoreRevision AsOf,
+                TimePoint Now);
 
   StoreRevision Revision_;
   std::set<std::string> Listed_;
@@ -59,6 +65,7 @@
   std::set<std::string> ListedInEra_;
   /// Zones that are not in ListedInEra_, with the time of the loss.
   std::map<std::string, TimePoint> Held_;
+  StoreRevision HeldAsOf_;
 };
 
 } // namespace dragonflystall::opaque
--- a/src/opaque/restoredstore_test.cpp
+++ b/src/opaque/restoredstore_test.cpp
@@ -151,6 +151,26 @@
   EXPECT_FALSE(Ours.contains("a"));
 }
 
+// Guards against a zone that operators took back before the restore, and that a
+// process which was away meanwhile takes for lost: all others held it for 10 s.
+TEST(RestoredEvacuations, AProcessThatWasAwayDoesNotBringBackAZone) {
+  const TimePoint Now{100s};
+  Configuration Away;
+  Configuration Living;
+  for (Configuration *C : {&Away, &Living})
+    C->evacuations().offer({{1, 50}, {"a"}}, Now);
+  Living.evacuations().offer({{1, 60}, {}}, Now);
+  for (Configuration *C : {&Away, &Living})
+    C->evacuations().offer({{2, 20}, {}}, Now);
+  EXPECT_TRUE(Away.isEvacuated("a"));
+  EXPECT_FALSE(isBehind(configVersionsOf(Living), configVersionsOf(Away)));
+  Living.evacuations().offer(Away.evacuations().state(Now), Now);
+  EXPECT_FALSE(Living.isEvacuated("a"));
+  EXPECT_TRUE(isBehind(configVersionsOf(Away), configVersionsOf(Living)));
+  Away.evacuations().offer(Living.evacuations().state(Now), Now);
+  EXPECT_FALSE(Away.isEvacuated("a"));
+}
+
 // Guards against an entry that stays lost: the list that lacks it has a lower
 // revision than the entry had before the restore.
 TEST_F(RestoredStore, AnEntryThatWasLostIsWrittenAgain) {
