Only the manifest under its name is taken

Operators could see: a manifest that somebody stored beside theirs, under another name of the same kind and with a greater version, was put in force on all hosts (CONFIG), and theirs was ignored from then on. Cause: the list and the watch of manifests took every object of the kind. Found by looking through what of a store that came back may be taken for the newest configuration.

Change: objects under any other name are left out. The name stands in platform/.

Test: RestoredStore.AManifestUnderAnotherNameIsNotTaken failed before: version 7 of the draft stayed in force.

--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -205,7 +205,7 @@
 }
 
 void Fleet::writeManifest() {
-  Store->put(platform::ObjectKind::Manifest, "main",
+  Store->put(platform::ObjectKind::Manifest, std::string(platform::ManifestName),
              platform::encodeManifest(Manifest));
 }
 
--- a/src/node/configsource.cpp
+++ b/src/node/configsource.cpp
@@ -111,6 +111,8 @@
   const auto Continuity = From == Source::Watch ? opaque::Continuity::Unbroken
                                                 : opaque::Continuity::Gap;
   for (const platform::Object &O : Objects) {
+    if (O.Name != platform::ManifestName)
+      continue;
     auto Newer = readManifest(O.Content, From);
     const int64_t Before = Config_.manifest().Version;
     if (Newer && Config_.offer(std::move(*Newer), Continuity, Services_.now()))
--- a/src/node/restoredstore_test.cpp
+++ b/src/node/restoredstore_test.cpp
@@ -40,7 +40,8 @@
   }
   const opaque::Configuration &config() const { return Source->config(); }
   void put(int64_t Version) {
-    Store.put(ObjectKind::Manifest, "main", manifest(Version));
+    Store.put(ObjectKind::Manifest, std::string(platform::ManifestName),
+              manifest(Version));
   }
   void evacuate(const std::string &Zone) {
     Store.put(ObjectKind::Evacuation, Zone, "{}");
@@ -92,6 +93,16 @@
   EXPECT_TRUE(followsVersion(3));
 }
 
+// Guards against a manifest that operators have not put in force: it is stored
+// beside theirs, by whomever.
+TEST_F(RestoredStore, AManifestUnderAnotherNameIsNotTaken) {
+  put(1);
+  ASSERT_TRUE(followsVersion(1));
+  Store.put(ObjectKind::Manifest, "draft", manifest(7));
+  put(2);
+  EXPECT_TRUE(followsVersion(2));
+}
+
 TEST_F(RestoredStore, AnEvacuationAtALowerRevisionIsTaken) {
   put(1);
   ASSERT_TRUE(followsVersion(1));
