What is known of each past era of the store is kept apart

Operators could see: an acknowledged evacuation that ended before they had written it again, if the store came back from a copy twice within seconds. Cause: a process that had started between the two restores had read a greater revision of the second era than the others, and counted for that as the one that knows the lost zones best, although the zone had been lost in the first era, of which it knew nothing; all others dropped their hold.

Change: EvacuatedZones keeps, for each of the last four eras, how far the process has read it and which of its zones are held; two processes compare and exchange them era by era. A zone is held unless a later era has listed it. A process also drops the hold of a zone that a peer, which has read that era as far, no longer holds. Pings name the eras in place of the single revision.

Weighed: adding up the held zones of all processes (a process that was away brings back zones that operators had taken back).

--- a/src/opaque/control.cpp
+++ b/src/opaque/control.cpp
@@ -3,6 +3,7 @@
 // so that processes of earlier versions can read the rest.
 #include "opaque/control.h"
 
+#include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
 
@@ -21,9 +22,13 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
 }
 Json toJson(const ConfigVersions &Versions) {
-  return {Versions.ManifestVersion, Versions.EvacuationRevision.Number,
-          Versions.EvacuatedZones,  Versions.EvacuationRevision.Era,
-          Versions.HeldAsOf.Number, Versions.HeldAsOf.Era};
+  Json Fields = {Versions.ManifestVersion, Versions.EvacuationRevision.Number,
+                 Versions.EvacuatedZones, Versions.EvacuationRevision.Era};
+  for (const StoreRevision &Past : Versions.PastRevisions) {
+    Fields.push_back(Past.Era);
+    Fields.push_back(Past.Number);
+  }
+  return Fields;
 }
 Json toJson(const AgentEntry &Entry) {
   return {Entry.Name, Entry.Service, Entry.Zone, toJson(Entry.Packets),
@@ -109,10 +114,11 @@
     Versions.EvacuationRevision.Number = Fields.number<int64_t>();
     Versions.EvacuatedZones = Fields.number<uint32_t>();
     // Processes of earlier versions know no eras and hold no zones.
-    if (!Fields.atEnd()) {
+    if (!Fields.atEnd())
       Versions.EvacuationRevision.Era = Fields.number<int64_t>();
-      Versions.HeldAsOf.Number = Fields.number<int64_t>();
-      Versions.HeldAsOf.Era = Fields.number<int64_t>();
+    while (!Fields.atEnd()) {
+      const auto Era = Fields.number<int64_t>();
+      Versions.PastRevisions.push_back({Era, Fields.number<int64_t>()});
     }
     return Versions;
   }
@@ -204,17 +210,31 @@
   Versions.EvacuationRevision = Config.evacuations().revision();
   for (const std::string &Zone : Config.evacuations().zones())
     Versions.EvacuatedZones ^= static_cast<uint32_t>(agentId(Zone));
-  Versions.HeldAsOf = Config.evacuations().heldAsOf();
+  Versions.PastRevisions = Config.evacuations().pastRevisions();
   return Versions;
 }
 
+/// Whether the other process has read more of some past era of the store.
+static bool knowsLessOfPast(const ConfigVersions &Ours,
+                            const ConfigVersions &Theirs) {
+  const auto IsKnown = [&](StoreRevision Past) {
+    return std::any_of(Ours.PastRevisions.begin(), Ours.PastRevisions.end(),
+                       [&](StoreRevision Known) {
+                         return Known.Era == Past.Era &&
+                                Known.Number >= Past.Number;
+                       });
+  };
+  return !std::all_of(Theirs.PastRevisions.begin(), Theirs.PastRevisions.end(),
+                      IsKnown);
+}
+
 bool isBehind(const ConfigVersions &Ours, const ConfigVersions &Theirs) {
   if (Theirs.ManifestVersion > Ours.ManifestVersion)
     return true;
   // The store does not tell of the zones that are held.
   const bool MayKnowMore =
       Theirs.EvacuationRevision > Ours.EvacuationRevision ||
-      Theirs.HeldAsOf > Ours.HeldAsOf;
+      knowsLessOfPast(Ours, Theirs);
   return MayKnowMore && Theirs.EvacuatedZones != Ours.EvacuatedZones;
 }
 
--- a/src/opaque/control.h
+++ b/src/opaque/control.h
@@ -23,8 +23,8 @@
   /// Hash of the evacuated zones, since the revision alone changes all the
   /// time.
   uint32_t EvacuatedZones = 0;
-  /// See Evacuations::HeldAsOf.
-  StoreRevision HeldAsOf = {};
+  /// See EvacuatedZones::pastRevisions.
+  std::vector<StoreRevision> PastRevisions = {};
 };
 
 ConfigVersions configVersionsOf(const Configuration &Config);
--- a/src/opaque/evacuatedzones.cpp
+++ b/src/opaque/evacuatedzones.cpp
@@ -1,4 +1,4 @@
-// Evacuations across a restore of the store.
+// Evacuations across restores of the store.
 #include "opaque/evacuatedzones.h"
 
 #include <algorithm>
@@ -7,62 +7,90 @@
 
 bool EvacuatedZones::offer(const Evacuations &Offered, TimePoint Now) {
   const std::set<std::string> Before = zones();
-  if (Offered.Revision.Era < Revision_.Era) {
-    // The peer has not noticed the restore: the zones may be lost.
-    std::vector<HeldZone> Lost;
-    for (const std::string &Zone : Offered.Zones)
-      Lost.push_back({Zone, Duration::zero()});
-    takeHeld(Lost, Offered.Revision, Now);
-    return zones() != Before;
-  }
-  if (Offered.Revision > Revision_)
+  if (Offered.Revision.Era < Revision_.Era)
+    takePast(Offered.Revision, Offered.Zones, Now); // Of a peer that is behind.
+  else if (Offered.Revision > Revision_)
     takeListed(Offered, Now);
-  takeHeld(Offered.Held, Offered.HeldAsOf, Now);
+  for (const PastEra &P : Offered.Past)
+    takePast(P.ReadUpTo, P.Held, Now - std::max(Duration::zero(), P.Age));
   return zones() != Before;
 }
 
 void EvacuatedZones::takeListed(const Evacuations &Newer, TimePoint Now) {
-  if (Revision_.isSet() && Revision_.Era != Newer.Revision.Era) {
-    for (const std::string &Zone : Listed_)
-      Held_.emplace(Zone, Now);
-    HeldAsOf_ = Revision_;
-    ListedInEra_.clear();
-  }
+  if (Revision_.isSet() && Revision_.Era != Newer.Revision.Era)
+    takePast(Revision_, Listed_, Now);
   Revision_ = Newer.Revision;
   Listed_ = Newer.Zones;
-  ListedInEra_.insert(Listed_.begin(), Listed_.end());
-  for (const std::string &Zone : Listed_)
-    Held_.erase(Zone);
+  markListed(Listed_, Revision_.Era);
+}
+
+void EvacuatedZones::takePast(StoreRevision ReadUpTo,
+                              const std::set<std::string> &Zones,
+                              TimePoint EndedAt) {
+  markListed(Zones, ReadUpTo.Era);
+  const auto [It, IsNew] = Past_.try_emplace(ReadUpTo.Era);
+  Past &Known = It->second;
+  if (IsNew || ReadUpTo.Number > Known.ReadUpTo)
+    Known = {ReadUpTo.Number, Zones, EndedAt};
+  else if (ReadUpTo.Number == Known.ReadUpTo)
+    // The hold of the other zones has ended at the peer.
+    std::erase_if(Known.Zones,
+                  [&](const auto &Zone) { return Zones.count(Zone) == 0; });
+  if (Past_.size() > MaxPastEras)
+    Past_.erase(Past_.begin());
+}
+
+void EvacuatedZones::markListed(const std::set<std::string> &Zones,
+                                int64_t Era) {
+  for (const std::string &Zone : Zones) {
+    int64_t &Latest = LastListed_[Zone];
+    Latest = std::max(Latest, Era);
+  }
 }
 
-void EvacuatedZones::takeHeld(const std::vector<HeldZone> &Held,
-                              StoreRevision AsOf, TimePoint Now) {
-  if (AsOf <= HeldAsOf_)
-    return;
-  HeldAsOf_ = AsOf;
-  Held_.clear();
-  for (const HeldZone &H : Held)
-    if (ListedInEra_.count(H.Zone) == 0)
-      Held_.emplace(H.Zone, Now - std::max(Duration::zero(), H.Age));
+std::set<std::string> EvacuatedZones::heldSince(int64_t Era,
+                                                const Past &Known) const {
+  std::set<std::string> Held = Known.Zones;
+  std::erase_if(Held, [&](const std::string &Zone) {
+    return LastListed_.at(Zone) > Era;
+  });
+  return Held;
+}
+
+bool EvacuatedZones::isHeld(const std::string &Zone) const {
+  return std::any_of(Past_.begin(), Past_.end(), [&](const auto &Entry) {
+    return Entry.second.Zones.count(Zone) > 0 &&
+           LastListed_.at(Zone) <= Entry.first;
+  });
 }
 
 bool EvacuatedZones::expire(TimePoint Now) {
-  return std::erase_if(Held_, [&](const auto &Held) {
-           return Now - Held.second > HoldTime;
-         }) > 0;
+  const std::set<std::string> Before = zones();
+  for (auto &[Era, Known] : Past_)
+    if (Now - Known.EndedAt > HoldTime)
+      Known.Zones.clear();
+  return zones() != Before;
+}
+
+std::vector<StoreRevision> EvacuatedZones::pastRevisions() const {
+  std::vector<StoreRevision> Revisions;
+  for (const auto &[Era, Known] : Past_)
+    Revisions.push_back({Era, Known.ReadUpTo});
+  return Revisions;
 }
 
 std::set<std::string> EvacuatedZones::zones() const {
   std::set<std::string> Zones = Listed_;
-  for (const auto &[Zone, Since] : Held_)
-    Zones.insert(Zone);
+  for (const auto &[Era, Known] : Past_)
+    Zones.merge(heldSince(Era, Known));
   return Zones;
 }
 
 Evacuations EvacuatedZones::state(TimePoint Now) const {
-  Evacuations State{Revision_, Listed_, {}, HeldAsOf_};
-  for (const auto &[Zone, Since] : Held_)
-    State.Held.push_back({Zone, Now - Since});
+  Evacuations State{Revision_, Listed_, {}};
+  for (const auto &[Era, Known] : Past_)
+    State.Past.push_back(
+        {{Era, Known.ReadUpTo}, heldSince(Era, Known), Now - Known.EndedAt});
   return State;
 }
 
--- a/src/opaque/evacuatedzones.h
+++ b/src/opaque/evacuatedzones.h
@@ -12,21 +12,21 @@
 
 namespace dragonflystall::opaque {
 
-/// A zone whose evacuation the store has lost by coming back from a copy.
-struct HeldZone {
-  std::string Zone;
-  Duration Age{}; ///< Time since the loss was noticed.
-  friend bool operator==(const HeldZone &, const HeldZone &) = default;
+/// What a process knows of an era of the store that is over.
+struct PastEra {
+  StoreRevision ReadUpTo; ///< Of the era; a greater one is better knowledge.
+  /// The zones that were listed then and are still held, since the store may
+  /// have lost their evacuations by coming back from a copy.
+  std::set<std::string> Held;
+  Duration Age{}; ///< Time since the end of the era was noticed.
+  friend bool operator==(const PastEra &, const PastEra &) = default;
 };
 
 /// Evacuations as of a revision of the store.
 struct Evacuations {
   StoreRevision Revision;
   std::set<std::string> Zones; ///< As listed by the store.
-  std::vector<HeldZone> Held = {};
-  /// The revision of the era before as of which Held is known; not set if it is
-  /// not known.
-  StoreRevision HeldAsOf = {};
+  std::vector<PastEra> Past = {};
 };
 
 class EvacuatedZones {
@@ -34,6 +34,8 @@
   /// A zone stays evacuated for this time after the store has lost the
   /// evacuation. Operators write again what was lost, within seconds.
   static constexpr Duration HoldTime = 10s;
+  /// Limit on the past eras that are remembered, the latest ones.
+  static constexpr size_t MaxPastEras = 4;
 
   /// Takes what is newer, from the store or a peer. Returns whether zones()
   /// has changed.
@@ -42,10 +44,10 @@
   bool expire(TimePoint Now);
 
   StoreRevision revision() const { return Revision_; }
-  /// See Evacuations::HeldAsOf.
-  StoreRevision heldAsOf() const { return HeldAsOf_; }
+  /// PastEra::ReadUpTo of each past era, in ascending order.
+  std::vector<StoreRevision> pastRevisions() const;
   bool contains(const std::string &Zone) const {
-    return Listed_.count(Zone) > 0 || Held_.count(Zone) > 0;
+    return Listed_.count(Zone) > 0 || isHeld(Zone);
   }
   /// The zones that are evacuated, listed by the store or held.
   std::set<std::string> zones() const;
@@ -53,19 +55,27 @@
   Evacuations state(TimePoint Now) const;
 
 private:
+  struct Past {
+    int64_t ReadUpTo = 0;
+    std::set<std::string> Zones;
+    TimePoint EndedAt{};
+  };
+
   void takeListed(const Evacuations &Newer, TimePoint Now);
-  /// Takes the held zones of a process that knows the era before better.
-  void takeHeld(const std::vector<HeldZone> &Held, StoreRevision AsOf,
-                TimePoint Now);
+  /// Takes the zones of a past era from whom has read more of that era.
+  void takePast(StoreRevision ReadUpTo, const std::set<std::string> &Zones,
+                TimePoint EndedAt);
+  bool isHeld(const std::string &Zone) const;
+  std::set<std::string> heldSince(int64_t Era, const Past &Known) const;
+  void markListed(const std::set<std::string> &Zones, int64_t Era);
 
   StoreRevision Revision_;
   std::set<std::string> Listed_;
-  /// Zones that were listed at some time in the era of Revision_. Operators
-  /// have written them again if they were lost.
-  std::set<std::string> ListedInEra_;
-  /// Zones that are not in ListedInEra_, with the time of the loss.
-  std::map<std::string, TimePoint> Held_;
-  StoreRevision HeldAsOf_;
+  /// By era; all are earlier than that of Revision_.
+  std::map<int64_t, Past> Past_;
+  /// The latest era in which the store listed the zone: operators have written
+  /// its evacuation again if it was lost in an era before.
+  std::map<std::string, int64_t> LastListed_;
 };
 
 } // namespace dragonflystall::opaque
--- a/src/opaque/opaqueparts_test.cpp
+++ b/src/opaque/opaqueparts_test.cpp
@@ -137,7 +137,8 @@
   Report.Busy = 1.5;
   switch (Kind) {
   case 0:
-    return Ping{"a", 3, {1, {2, 3}, 4, {5, 6}}, {2, 4}, {1, 7}, {5, 6}};
+    return Ping{"a",    3,      {1, {2, 3}, 4, {{1, 6}, {2, 9}}},
+                {2, 4}, {1, 7}, {5, 6}};
   case 1:
     return Report;
   case 2:
--- a/src/opaque/restoredstore_test.cpp
+++ b/src/opaque/restoredstore_test.cpp
@@ -171,6 +171,27 @@
   EXPECT_FALSE(Away.isEvacuated("a"));
 }
 
+// Guards against a lost evacuation that ends early: the store is restored
+// twice, and a process that started in between takes the zones that it has read
+// for all.
+TEST(RestoredEvacuations,
+     AProcessThatStartedBetweenTwoRestoresDoesNotEndAHold) {
+  const TimePoint Now{100s};
+  Configuration Living;
+  Configuration Started;
+  Living.evacuations().offer({{1, 50}, {"a"}}, Now);
+  Living.evacuations().offer({{2, 20}, {}}, Now);
+  Started.evacuations().offer({{2, 25}, {}}, Now);
+  for (Configuration *C : {&Living, &Started})
+    C->evacuations().offer({{3, 10}, {}}, Now);
+  Living.evacuations().offer(Started.evacuations().state(Now), Now);
+  EXPECT_TRUE(Living.isEvacuated("a"));
+  EXPECT_TRUE(isBehind(configVersionsOf(Started), configVersionsOf(Living)));
+  Started.evacuations().offer(Living.evacuations().state(Now), Now);
+  EXPECT_TRUE(Started.isEvacuated("a"));
+  EXPECT_FALSE(isBehind(configVersionsOf(Started), configVersionsOf(Living)));
+}
+
 // Guards against an entry that stays lost: the list that lacks it has a lower
 // revision than the entry had before the restore.
 TEST_F(RestoredStore, AnEntryThatWasLostIsWrittenAgain) {
