A lost evacuation is held while the store is away again

Operators could see: an acknowledged evacuation that ended although they had had no chance to write it again, when the store went away once more after it had come back from a copy: the hold of 10 s ran on.

Change: the 10 s count from the last moment at which the store was known to be away.

Test: RestoredEvacuations.AHoldDoesNotEndWhileTheStoreIsAway failed without the change.

--- a/src/node/configsource.cpp
+++ b/src/node/configsource.cpp
@@ -25,7 +25,7 @@
 
 ConfigSource::ConfigSource(Services &Shared, StoreHealth &Health,
                            ConfigSources Sources, Callbacks Notify)
-    : Services_(Shared), Sources_(std::move(Sources)),
+    : Services_(Shared), Health_(Health), Sources_(std::move(Sources)),
       Callbacks_(std::move(Notify)), Config_(Sources_.MaxFlowAge),
       Manifests_(Shared, Health, Sources_.Watching,
                  platform::ObjectKind::Manifest,
@@ -67,7 +67,7 @@
 void ConfigSource::poll(TimePoint Now) {
   Manifests_.poll(Now);
   Evacuations_.poll(Now);
-  if (Config_.evacuations().expire(Now))
+  if (Config_.evacuations().expire(Now, Health_.up()))
     onEvacuationsChanged("hold");
   if (isSeedFetchDue(Now) && Now >= NextFetch_)
     fetch(Sources_.Seeds[NextSeed_++ % Sources_.Seeds.size()], Now);
--- a/src/node/configsource.h
+++ b/src/node/configsource.h
@@ -82,6 +82,7 @@
   bool maySeedsKnowMore(TimePoint Now) const;
 
   Services &Services_;
+  const StoreHealth &Health_;
   ConfigSources Sources_;
   Callbacks Callbacks_;
   opaque::Configuration Config_;
--- a/src/opaque/evacuatedzones.cpp
+++ b/src/opaque/evacuatedzones.cpp
@@ -64,10 +64,12 @@
   });
 }
 
-bool EvacuatedZones::expire(TimePoint Now) {
+bool EvacuatedZones::expire(TimePoint Now, bool StoreUp) {
+  if (!StoreUp)
+    LastAway_ = Now;
   const std::set<std::string> Before = zones();
   for (auto &[Era, Known] : Past_)
-    if (Now - Known.EndedAt > HoldTime)
+    if (Now - std::max(Known.EndedAt, LastAway_) > HoldTime)
       Known.Zones.clear();
   return zones() != Before;
 }
--- a/src/opaque/evacuatedzones.h
+++ b/src/opaque/evacuatedzones.h
@@ -32,7 +32,8 @@
 class EvacuatedZones {
 public:
   /// A zone stays evacuated for this time after the store has lost the
-  /// evacuation. Operators write again what was lost, within seconds.
+  /// evacuation, or after the store was last away: operators write again what
+  /// was lost within seconds, once they can.
   static constexpr Duration HoldTime = 10s;
   /// Limit on the past eras that are remembered, the latest ones.
   static constexpr size_t MaxPastEras = 4;
@@ -40,8 +41,9 @@
   /// Takes what is newer, from the store or a peer. Returns whether zones()
   /// has changed.
   bool offer(const Evacuations &Offered, TimePoint Now);
-  /// Call regularly: ends holds. Returns whether zones() has changed.
-  bool expire(TimePoint Now);
+  /// Call regularly: ends holds. StoreUp: whether the store answers. Returns
+  /// whether zones() has changed.
+  bool expire(TimePoint Now, bool StoreUp);
 
   StoreRevision revision() const { return Revision_; }
   /// PastEra::ReadUpTo of each past era, in ascending order.
@@ -76,6 +78,8 @@
   /// The latest era in which the store listed the zone: operators have written
   /// its evacuation again if it was lost in an era before.
   std::map<std::string, int64_t> LastListed_;
+  /// When the store was last known to be away.
+  TimePoint LastAway_{};
 };
 
 } // namespace dragonflystall::opaque
--- a/src/opaque/restoredstore_test.cpp
+++ b/src/opaque/restoredstore_test.cpp
@@ -95,12 +95,28 @@
   EXPECT_FALSE(Zones.offer({{2, 21}, {"a"}}, Now));
   EXPECT_TRUE(Zones.offer({{2, 22}, {}}, Now));
   EXPECT_EQ(Zones.zones(), std::set<std::string>{"b"});
-  EXPECT_FALSE(Zones.expire(Now));
+  EXPECT_FALSE(Zones.expire(Now, /*StoreUp=*/true));
   Now += EvacuatedZones::HoldTime;
-  EXPECT_TRUE(Zones.expire(Now));
+  EXPECT_TRUE(Zones.expire(Now, /*StoreUp=*/true));
   EXPECT_FALSE(Zones.contains("b"));
 }
 
+// Guards against a lost evacuation that ends before operators could write it
+// again: the store has gone away once more.
+TEST(RestoredEvacuations, AHoldDoesNotEndWhileTheStoreIsAway) {
+  TimePoint Now{100s};
+  EvacuatedZones Zones;
+  Zones.offer({{1, 50}, {"a"}}, Now);
+  Zones.offer({{2, 20}, {}}, Now);
+  Now += 2 * EvacuatedZones::HoldTime;
+  EXPECT_FALSE(Zones.expire(Now, /*StoreUp=*/false));
+  Now += 1s;
+  EXPECT_FALSE(Zones.expire(Now, /*StoreUp=*/true));
+  EXPECT_TRUE(Zones.contains("a"));
+  Now += EvacuatedZones::HoldTime;
+  EXPECT_TRUE(Zones.expire(Now, /*StoreUp=*/true));
+}
+
 // A process that has started after the restore learns of lost evacuations from
 // a peer, whether that peer has noticed the restore or not.
 TEST(RestoredEvacuations, AreTakenOverFromAPeer) {
@@ -118,7 +134,7 @@
   EXPECT_TRUE(Second.offer(Peer.state(Now), Now));
   EXPECT_TRUE(Second.contains("a"));
   Now += EvacuatedZones::HoldTime - 3s;
-  EXPECT_TRUE(Second.expire(Now));
+  EXPECT_TRUE(Second.expire(Now, /*StoreUp=*/true));
 }
 
 // Guards against flows that an agent opens in an evacuated zone because it has
