--- a/src/opaque/evacuatedzones.cpp
+++ b/src/opaque/evacuatedzones.cpp
@@ -1,13 +1,11 @@
 // Evacuations across restores of the store.
 #include "opaque/evacuatedzones.h"
 
-#include <algorithm>
-
 namespace dragonflystall::opaque {
 
 bool EvacuatedZones::offer(const Evacuations &Offered, TimePoint Now) {
   const std::set<std::string> Before = zones();
-  if (Offered.Revision.Era < Revision_.Era)
+  if (Offered.Revision.isSet() && Offered.Revision.Era < Revision_.Era)
     takePast(Offered.Revision, Offered.Zones, Now); // Of a peer that is behind.
   else if (Offered.Revision > Revision_)
     takeListed(Offered, Now);
@@ -17,8 +15,10 @@
 }
 
 void EvacuatedZones::takeListed(const Evacuations &Newer, TimePoint Now) {
-  if (Revision_.isSet() && Revision_.Era != Newer.Revision.Era)
+  if (Revision_.isSet() && Revision_.Era != Newer.Revision.Era) {
     takePast(Revision_, Listed_, Now);
+    LastDisturbed_ = Now;
+  }
   Revision_ = Newer.Revision;
   Listed_ = Newer.Zones;
   markListed(Listed_, Revision_.Era);
@@ -66,10 +66,10 @@
 
 bool EvacuatedZones::expire(TimePoint Now, bool StoreUp) {
   if (!StoreUp)
-    LastAway_ = Now;
+    LastDisturbed_ = Now;
   const std::set<std::string> Before = zones();
   for (auto &[Era, Known] : Past_)
-    if (Now - std::max(Known.EndedAt, LastAway_) > HoldTime)
+    if (Now - holdStart(Known) > HoldTime)
       Known.Zones.clear();
   return zones() != Before;
 }
@@ -92,7 +92,7 @@
   Evacuations State{Revision_, Listed_, {}};
   for (const auto &[Era, Known] : Past_)
     State.Past.push_back(
-        {{Era, Known.ReadUpTo}, heldSince(Era, Known), Now - Known.EndedAt});
+        {{Era, Known.ReadUpTo}, heldSince(Era, Known), Now - holdStart(Known)});
   return State;
 }
 
--- a/src/opaque/evacuatedzones.h
+++ b/src/opaque/evacuatedzones.h
@@ -5,6 +5,7 @@
 #include "dragonflystall/clock.h"
 #include "opaque/storerevision.h"
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <string>
@@ -18,7 +19,7 @@
   /// The zones that were listed then and are still held, since the store may
   /// have lost their evacuations by coming back from a copy.
   std::set<std::string> Held;
-  Duration Age{}; ///< Time since the end of the era was noticed.
+  Duration Age{}; ///< Time for which the zones have been held.
   friend bool operator==(const PastEra &, const PastEra &) = default;
 };
 
@@ -32,11 +33,11 @@
 class EvacuatedZones {
 public:
   /// A zone stays evacuated for this time after the store has lost the
-  /// evacuation, or after the store was last away: operators write again what
-  /// was lost within seconds, once they can.
+  /// evacuation, was away or has come back from a copy once more: operators
+  /// write again what was lost within seconds, once they can.
   static constexpr Duration HoldTime = 10s;
   /// Limit on the past eras that are remembered, the latest ones.
-  static constexpr size_t MaxPastEras = 4;
+  static constexpr size_t MaxPastEras = 8;
 
   /// Takes what is newer, from the store or a peer. Returns whether zones()
   /// has changed.
@@ -68,6 +69,9 @@
   void takePast(StoreRevision ReadUpTo, const std::set<std::string> &Zones,
                 TimePoint EndedAt);
   bool isHeld(const std::string &Zone) const;
+  TimePoint holdStart(const Past &Known) const {
+    return std::max(Known.EndedAt, LastDisturbed_);
+  }
   std::set<std::string> heldSince(int64_t Era, const Past &Known) const;
   void markListed(const std::set<std::string> &Zones, int64_t Era);
 
@@ -78,8 +82,8 @@
   /// The latest era in which the store listed the zone: operators have written
   /// its evacuation again if it was lost in an era before.
   std::map<std::string, int64_t> LastListed_;
-  /// When the store was last known to be away.
-  TimePoint LastAway_{};
+  /// When the store was last known to be away, or came back from a copy.
+  TimePoint LastDisturbed_{};
 };
 
 } // namespace dragonflystall::opaque
