--- a/src/objectstore/linkcore_test.cpp
+++ b/src/objectstore/linkcore_test.cpp
@@ -90,6 +90,22 @@
   EXPECT_EQ(Platform.Processes[0].Settings["settings/zones/q"], Version);
 }
 
+// Guards against a change that is not in force anywhere: the store has come
+// back from a copy and gives the change a version that the process has seen
+// before.
+TEST(LinkCore, ASettingAtAReusedVersionIsFollowed) {
+  FakePlatform Platform(1, DefaultSeed);
+  Platform.put("settings/zones/q", ZoneIn);
+  const MemoryStore Copy = Platform.Store;
+  for (int I = 0; I < 4; ++I)
+    Platform.put("settings/zones/r", I % 2 ? ZoneIn : ZoneOut);
+  Platform.run(1s);
+  Platform.Store = Copy;
+  const uint64_t Version = Platform.put("settings/zones/q", ZoneOut);
+  Platform.run(WatchWait + CallTimeout + BackoffBase);
+  EXPECT_EQ(Platform.Processes[0].Settings["settings/zones/q"], Version);
+}
+
 TEST(LinkCore, AWriteWithALostAnswerIsRecognisedByItsMark) {
   FakePlatform Platform(1, DefaultSeed);
   Platform.watchRoster(0, "x");
