--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -205,7 +205,8 @@
 }
 
 void Fleet::writeManifest() {
-  Store->put(platform::ObjectKind::Manifest, std::string(platform::ManifestName),
+  Store->put(platform::ObjectKind::Manifest,
+             std::string(platform::ManifestName),
              platform::encodeManifest(Manifest));
 }
 
--- a/src/opaque/evacuatedzones.cpp
+++ b/src/opaque/evacuatedzones.cpp
@@ -9,7 +9,7 @@
     takePast(Offered.Revision, Offered.Zones, Now); // Of a peer that is behind.
   else if (Offered.Revision > Revision_)
     takeListed(Offered, Now);
-  for (const PastEra &P : Offered.Past)
+  for (const PastEra &P : Offered.PastEras)
     takePast(P.ReadUpTo, P.Held, Now - std::max(Duration::zero(), P.Age));
   return zones() != Before;
 }
@@ -28,16 +28,16 @@
                               const std::set<std::string> &Zones,
                               TimePoint EndedAt) {
   markListed(Zones, ReadUpTo.Era);
-  const auto [It, IsNew] = Past_.try_emplace(ReadUpTo.Era);
-  Past &Known = It->second;
+  const auto [It, IsNew] = PastEras_.try_emplace(ReadUpTo.Era);
+  KnownEra &Known = It->second;
   if (IsNew || ReadUpTo.Number > Known.ReadUpTo)
     Known = {ReadUpTo.Number, Zones, EndedAt};
   else if (ReadUpTo.Number == Known.ReadUpTo)
     // The hold of the other zones has ended at the peer.
     std::erase_if(Known.Zones,
                   [&](const auto &Zone) { return Zones.count(Zone) == 0; });
-  if (Past_.size() > MaxPastEras)
-    Past_.erase(Past_.begin());
+  if (PastEras_.size() > MaxPastEras)
+    PastEras_.erase(PastEras_.begin());
 }
 
 void EvacuatedZones::markListed(const std::set<std::string> &Zones,
@@ -48,8 +48,8 @@
   }
 }
 
-std::set<std::string> EvacuatedZones::heldSince(int64_t Era,
-                                                const Past &Known) const {
+std::set<std::string> EvacuatedZones::heldFrom(int64_t Era,
+                                               const KnownEra &Known) const {
   std::set<std::string> Held = Known.Zones;
   std::erase_if(Held, [&](const std::string &Zone) {
     return LastListed_.at(Zone) > Era;
@@ -58,17 +58,18 @@
 }
 
 bool EvacuatedZones::isHeld(const std::string &Zone) const {
-  return std::any_of(Past_.begin(), Past_.end(), [&](const auto &Entry) {
-    return Entry.second.Zones.count(Zone) > 0 &&
-           LastListed_.at(Zone) <= Entry.first;
-  });
+  return std::any_of(PastEras_.begin(), PastEras_.end(),
+                     [&](const auto &Entry) {
+                       return Entry.second.Zones.count(Zone) > 0 &&
+                              LastListed_.at(Zone) <= Entry.first;
+                     });
 }
 
 bool EvacuatedZones::expire(TimePoint Now, bool StoreUp) {
   if (!StoreUp)
     LastDisturbed_ = Now;
   const std::set<std::string> Before = zones();
-  for (auto &[Era, Known] : Past_)
+  for (auto &[Era, Known] : PastEras_)
     if (Now - holdStart(Known) > HoldTime)
       Known.Zones.clear();
   return zones() != Before;
@@ -76,23 +77,23 @@
 
 std::vector<StoreRevision> EvacuatedZones::pastRevisions() const {
   std::vector<StoreRevision> Revisions;
-  for (const auto &[Era, Known] : Past_)
+  for (const auto &[Era, Known] : PastEras_)
     Revisions.push_back({Era, Known.ReadUpTo});
   return Revisions;
 }
 
 std::set<std::string> EvacuatedZones::zones() const {
   std::set<std::string> Zones = Listed_;
-  for (const auto &[Era, Known] : Past_)
-    Zones.merge(heldSince(Era, Known));
+  for (const auto &[Era, Known] : PastEras_)
+    Zones.merge(heldFrom(Era, Known));
   return Zones;
 }
 
 Evacuations EvacuatedZones::state(TimePoint Now) const {
   Evacuations State{Revision_, Listed_, {}};
-  for (const auto &[Era, Known] : Past_)
-    State.Past.push_back(
-        {{Era, Known.ReadUpTo}, heldSince(Era, Known), Now - holdStart(Known)});
+  for (const auto &[Era, Known] : PastEras_)
+    State.PastEras.push_back(
+        {{Era, Known.ReadUpTo}, heldFrom(Era, Known), Now - holdStart(Known)});
   return State;
 }
 
--- a/src/opaque/evacuatedzones.h
+++ b/src/opaque/evacuatedzones.h
@@ -27,7 +27,7 @@
 struct Evacuations {
   StoreRevision Revision;
   std::set<std::string> Zones; ///< As listed by the store.
-  std::vector<PastEra> Past = {};
+  std::vector<PastEra> PastEras = {};
 };
 
 class EvacuatedZones {
@@ -58,8 +58,9 @@
   Evacuations state(TimePoint Now) const;
 
 private:
-  struct Past {
+  struct KnownEra {
     int64_t ReadUpTo = 0;
+    /// Those that were listed last, unless their hold has ended.
     std::set<std::string> Zones;
     TimePoint EndedAt{};
   };
@@ -69,16 +70,18 @@
   void takePast(StoreRevision ReadUpTo, const std::set<std::string> &Zones,
                 TimePoint EndedAt);
   bool isHeld(const std::string &Zone) const;
-  TimePoint holdStart(const Past &Known) const {
+  /// Since when the zones of a past era are held; see HoldTime.
+  TimePoint holdStart(const KnownEra &Known) const {
     return std::max(Known.EndedAt, LastDisturbed_);
   }
-  std::set<std::string> heldSince(int64_t Era, const Past &Known) const;
+  /// The zones that were listed in a past era and are still held.
+  std::set<std::string> heldFrom(int64_t Era, const KnownEra &Known) const;
   void markListed(const std::set<std::string> &Zones, int64_t Era);
 
   StoreRevision Revision_;
   std::set<std::string> Listed_;
   /// By era; all are earlier than that of Revision_.
-  std::map<int64_t, Past> Past_;
+  std::map<int64_t, KnownEra> PastEras_;
   /// The latest era in which the store listed the zone: operators have written
   /// its evacuation again if it was lost in an era before.
   std::map<std::string, int64_t> LastListed_;
