After a restore only primary readers read the store linearizably

Operators could see, in a large fleet: after the store had come back from a copy, every process listed manifests and evacuations and every agent read its entry, all linearizably and within two seconds; 130,000 agents make 390,000 such reads at a store that takes 2,000 a second.

Change: the list in a new era is as consistent as the process's watches, and an agent's look at its entry is serializable (Registration::Call::Check). Both may be outdated within the era only: the watch that follows brings the list up to date, or ends with history gone and a linearizable list; the entry is in every state of the era that has it, unless it was written or removed since, which the agent or a balancer notices. After a lost answer the read is linearizable as before.

Weighed: linearizable lists spread over time (changes late just when the store has lost some).

Test: RestoredStore.AProcessThatReadsSerializablyDoesSoAfterTheRestore failed before.

--- a/src/node/agent.cpp
+++ b/src/node/agent.cpp
@@ -292,13 +292,17 @@
   const auto Due = Registration_.next(Now);
   if (!Due)
     return;
+  const auto Level = *Due == Call::Check ? platform::Consistency::Serializable
+                                         : platform::Consistency::Linearizable;
   HttpRequest Request;
   switch (*Due) {
   case Call::Create:
     Request = platform::createCall(*Registration_.wanted());
     break;
   case Call::Read:
-    Request = platform::readCall(platform::ObjectKind::Agent, Settings_.Name);
+  case Call::Check:
+    Request =
+        platform::readCall(platform::ObjectKind::Agent, Settings_.Name, Level);
     break;
   case Call::Replace:
     Request = platform::replaceCall(*Registration_.wanted(),
@@ -309,7 +313,7 @@
                                    Registration_.revision().Number);
     break;
   }
-  StoreCalls_.count(platform::ObjectKind::Agent, name(*Due));
+  StoreCalls_.count(platform::ObjectKind::Agent, name(*Due), Level);
   StoreChannel_.request(Request, StoreTimeout,
                         [this, Sent = *Due](const auto &Result) {
                           onRegistrationAnswer(Sent, Result);
--- a/src/node/objectwatcher.cpp
+++ b/src/node/objectwatcher.cpp
@@ -62,7 +62,7 @@
 
 void ObjectWatcher::poll(TimePoint Now) {
   if (Watch_.isOfAnotherEra(Health_.era()))
-    restart();
+    restart(WatchConsistency_);
   const auto Due = Watch_.next(Now);
   if (!Due)
     return;
@@ -81,8 +81,8 @@
                    [this](const Answer &Result) { onListAnswer(Result); });
 }
 
-void ObjectWatcher::restart() {
-  ListConsistency_ = platform::Consistency::Linearizable;
+void ObjectWatcher::restart(platform::Consistency ListConsistency) {
+  ListConsistency_ = ListConsistency;
   Channel_.abandon();
   Watch_.restart();
 }
@@ -100,7 +100,7 @@
   }
   if (!Watch_.isOfAnotherEra(Era))
     return true;
-  ListConsistency_ = platform::Consistency::Linearizable;
+  ListConsistency_ = WatchConsistency_;
   Watch_.restart();
   return false;
 }
--- a/src/node/objectwatcher.h
+++ b/src/node/objectwatcher.h
@@ -76,12 +76,13 @@
   /// Sends the list or watch call that is due, if any.
   void poll(TimePoint Now);
   /// Abandons a watch that has missed a change, and lists again.
-  void restart();
+  void restart() { restart(platform::Consistency::Linearizable); }
   bool listed() const { return Watch_.listed(); }
   opaque::StoreRevision revision() const { return Watch_.revision(); }
 
 private:
   using Answer = tl::expected<HttpResponse, HttpFailure>;
+  void restart(platform::Consistency ListConsistency);
   void onListAnswer(const Answer &Result);
   void onWatchAnswer(const Answer &Result);
   /// Whether the answer continues what was read so far. If not, arranges for
@@ -97,7 +98,9 @@
   platform::Consistency WatchConsistency_;
   /// Serializable, as a watch brings an outdated list up to date at once. The
   /// list must be linearizable only after the history of a watch was gone or
-  /// the watch has missed a change.
+  /// the watch has missed a change; in a new era of the store it is as
+  /// consistent as the watches, since all processes list at about the same
+  /// time.
   platform::Consistency ListConsistency_ = platform::Consistency::Serializable;
   Callbacks Callbacks_;
   HttpChannel Channel_;
--- a/src/node/restoredstore_test.cpp
+++ b/src/node/restoredstore_test.cpp
@@ -136,6 +136,24 @@
   EXPECT_TRUE(comesTrue([&] { return !config().isEvacuated("zone-a"); }));
 }
 
+// Guards against more linearizable reads at once than the store bears: after a
+// restore every process lists again, and only few read linearizably otherwise.
+TEST_F(RestoredStore, AProcessThatReadsSerializablyDoesSoAfterTheRestore) {
+  put(1);
+  ASSERT_TRUE(followsVersion(1));
+  const auto Copy = Store.copy();
+  put(2);
+  ASSERT_TRUE(followsVersion(2));
+  restore(Copy);
+  put(3);
+  ASSERT_TRUE(followsVersion(3));
+  run(500ms);
+  EXPECT_EQ(Health.era(), 2);
+  EXPECT_EQ(Shared.Counts.prometheusText().find(
+                name(platform::Consistency::Linearizable)),
+            std::string::npos);
+}
+
 // Guards against a balancer that takes the answer of a peer which has just
 // started, too, for all there is to know: an open flow was reset.
 TEST_F(RestoredStore, AnotherPeerIsAskedAfterOneThatKnowsNothing) {
--- a/src/opaque/registration.h
+++ b/src/opaque/registration.h
@@ -10,10 +10,16 @@
 
 class Registration {
 public:
-  enum class Call : uint8_t { Create, Read, Replace, Remove };
+  enum class Call : uint8_t {
+    Create,
+    Read,
+    Check, ///< A read whose answer may be outdated within the store's era.
+    Replace,
+    Remove,
+  };
 
-  static constexpr std::array<std::string_view, 4> CallNames = {
-      "create", "read", "replace", "remove"};
+  static constexpr std::array<std::string_view, 5> CallNames = {
+      "create", "read", "check", "replace", "remove"};
   friend constexpr std::string_view name(Call C) {
     return CallNames[static_cast<size_t>(C)];
   }
@@ -29,10 +35,11 @@
   void markUnknown() { NeedsRead_ = true; }
   /// Call with the era of the store whenever it may have changed, and before an
   /// answer of that era is handled. A new era may have lost the entry, or may
-  /// have one again that was removed.
+  /// have one again that was removed: all that the era has had is up to date
+  /// enough to tell.
   void onEra(int64_t Era) {
     if (Era_ != 0 && Era_ != Era)
-      NeedsRead_ = true;
+      NeedsCheck_ = true;
     Era_ = Era;
   }
 
@@ -42,6 +49,8 @@
     CallInProgress_ = true;
     if (NeedsRead_)
       return Call::Read;
+    if (NeedsCheck_)
+      return Call::Check;
     if (!Wanted_)
       return Call::Remove;
     return Revision_.isSet() ? Call::Replace : Call::Create;
@@ -51,6 +60,7 @@
   void onStored(const AgentEntry &Entry, StoreRevision Revision) {
     CallInProgress_ = false;
     NeedsRead_ = false;
+    NeedsCheck_ = false;
     Retry_.onSuccess();
     Stored_ = Entry;
     Revision_ = Revision;
@@ -59,6 +69,7 @@
   void onForeign(StoreRevision Revision) {
     CallInProgress_ = false;
     NeedsRead_ = false;
+    NeedsCheck_ = false;
     Stored_.reset();
     Revision_ = Revision;
   }
@@ -66,6 +77,7 @@
   void onAbsent() {
     CallInProgress_ = false;
     NeedsRead_ = false;
+    NeedsCheck_ = false;
     Retry_.onSuccess();
     Stored_.reset();
     Revision_ = {};
@@ -88,7 +100,8 @@
   }
 
   bool isSettled() const {
-    return !NeedsRead_ && Stored_ == Wanted_ && (Wanted_ || !Revision_.isSet());
+    return !NeedsRead_ && !NeedsCheck_ && Stored_ == Wanted_ &&
+           (Wanted_ || !Revision_.isSet());
   }
   bool isStored() const { return Stored_.has_value(); }
   StoreRevision revision() const { return Revision_; }
@@ -102,6 +115,7 @@
   StoreRevision Revision_;
   int64_t Era_ = 0; ///< Of the store; 0 until it is known.
   bool NeedsRead_ = false;
+  bool NeedsCheck_ = false;
   bool CallInProgress_ = false;
 };
 
