--- a/src/opaque/evacuatedzones.h
+++ b/src/opaque/evacuatedzones.h
@@ -66,7 +66,8 @@
   };
 
   void takeListed(const Evacuations &Newer, TimePoint Now);
-  /// Takes the zones of a past era from whom has read more of that era.
+  /// Takes the zones of a past era if they come from a process that has read
+  /// more of it; drops those that one which has read as much no longer holds.
   void takePast(StoreRevision ReadUpTo, const std::set<std::string> &Zones,
                 TimePoint EndedAt);
   bool isHeld(const std::string &Zone) const;
@@ -83,7 +84,8 @@
   /// By era; all are earlier than that of Revision_.
   std::map<int64_t, KnownEra> PastEras_;
   /// The latest era in which the store listed the zone: operators have written
-  /// its evacuation again if it was lost in an era before.
+  /// its evacuation again if it was lost in an era before. Invariant: has all
+  /// zones of PastEras_.
   std::map<std::string, int64_t> LastListed_;
   /// When the store was last known to be away, or came back from a copy.
   TimePoint LastDisturbed_{};
--- a/src/opaque/registration.h
+++ b/src/opaque/registration.h
@@ -34,9 +34,9 @@
   /// Marks the stored entry as unknown, so that the next call reads it.
   void markUnknown() { NeedsRead_ = true; }
   /// Call with the era of the store whenever it may have changed, and before an
-  /// answer of that era is handled. A new era may have lost the entry, or may
-  /// have one again that was removed: all that the era has had is up to date
-  /// enough to tell.
+  /// answer of that era is handled. A new era may lack the entry, or may have
+  /// one again that was removed. Any state of the era shows which, so that the
+  /// read that follows need not be linearizable.
   void onEra(int64_t Era) {
     if (Era_ != 0 && Era_ != Era)
       NeedsCheck_ = true;
