Review: a server that joins loses flows while balancers are restarted

Claimed: FLOW is broken by planned work only: a flow at a server that has just joined is reset by a balancer that has not heard of its agent yet.

No functional change.

--- a/review/standins/clients.cpp
+++ b/review/standins/clients.cpp
@@ -23,7 +23,15 @@
                 [this, Index = Nodes_.size() - 1] { return probe(Index); });
 }
 
+Duration Routers::untilProbe(Address Packets) const {
+  for (const Node &N : Nodes_)
+    if (N.Packets == Packets)
+      return N.ProbedAt + ProbeInterval - now();
+  return Duration::zero();
+}
+
 bool Routers::probe(size_t Index) {
+  Nodes_[Index].ProbedAt = now();
   httpCall(Events_, Nodes_[Index].Ready, "GET", "/ready", "", ProbeInterval,
            [this, Index](const HttpMessage &Answer) {
              Node &N = Nodes_[Index];
--- a/review/standins/clients.h
+++ b/review/standins/clients.h
@@ -18,6 +18,8 @@
   void add(Address Packets, Address Ready);
   bool allReady() const;
   bool inRotation(Address Packets) const;
+  /// Time until the balancer is probed next.
+  Duration untilProbe(Address Packets) const;
   /// The balancer of a flow, by a steady hash over those in rotation.
   std::optional<Address> balancerOf(const Flow &F) const;
   std::function<void(Address Packets, bool InRotation)> OnChange;
@@ -27,6 +29,7 @@
     Address Packets;
     Address Ready;
     int Misses = 2;
+    TimePoint ProbedAt = now();
   };
   bool probe(size_t Index);
 
--- a/review/standins/deployment.cpp
+++ b/review/standins/deployment.cpp
@@ -33,7 +33,7 @@
 constexpr size_t MaxSeeds = 3;
 constexpr uint8_t LoopbackNet = 127;
 constexpr uint8_t FirstNet = 20;
-constexpr uint8_t Nets = 200;
+constexpr uint8_t NetCount = 200;
 
 constexpr std::array<const char *, 3> Zones = {"lund-a", "malmo-b",
                                                "helsingborg-c"};
@@ -52,9 +52,9 @@
   line("BROKEN " + Rule + ": " + Text);
 }
 
-Deployment::Deployment(const std::string &Folder, bool Trouble)
-    : Trouble(Trouble), Folder(Folder), Log(Folder + "/record.txt"),
-      Net_(FirstNet + ::getpid() % Nets) {
+Deployment::Deployment(const std::string &Folder, bool Trouble,
+                       const std::vector<uint8_t> &Nets)
+    : Trouble(Trouble), Folder(Folder), Log(Folder + "/record.txt") {
   std::string Pattern =
       (std::filesystem::temp_directory_path() / "dragonflystall-review-XXXXXX")
           .string();
@@ -63,11 +63,26 @@
   Temporary_ = Pattern;
   if (::access(Program, X_OK) != 0)
     throw std::runtime_error(std::string(Program) + " is not built");
-  Store = std::make_unique<review::Store>(Events,
-                                          address(StoreGroup, 1, StorePort));
+  chooseNet(Nets);
   Log.line(std::string("the disruption is ") + (Trouble ? "on" : "off"));
 }
 
+void Deployment::chooseNet(const std::vector<uint8_t> &Nets) {
+  const size_t Count = Nets.empty() ? NetCount : Nets.size();
+  for (size_t I = 0; I < Count && !Store; ++I) {
+    const size_t Choice = (::getpid() + I) % Count;
+    Net_ = Nets.empty() ? FirstNet + Choice : Nets[Choice];
+    try {
+      Store = std::make_unique<review::Store>(
+          Events, address(StoreGroup, 1, StorePort));
+    } catch (const std::runtime_error &Error) {
+      Log.line(Error.what());
+    }
+  }
+  if (!Store)
+    throw std::runtime_error("no free addresses");
+}
+
 Deployment::~Deployment() {
   const auto End = [](Process &P) {
     if (P.Pid <= 0)
@@ -94,6 +109,8 @@
           Port};
 }
 
+Address Deployment::packetsOf(const Process &P) { return {P.Ip, PacketPort}; }
+
 Process Deployment::newProcess(const std::string &Role, uint8_t Group,
                                uint8_t Index) {
   Process P;
@@ -207,7 +224,7 @@
   Process &P = Balancers.emplace_back(
       newProcess("balancer", BalancerGroup, Balancers.size() + 1));
   start(P);
-  Fabric.add({P.Ip, PacketPort}, {P.Ip, ReadyPort});
+  Fabric.add(packetsOf(P), {P.Ip, ReadyPort});
   return P;
 }
 
--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -62,9 +62,11 @@
 
 class Deployment {
 public:
-  /// Folder: of the case; record.txt is written there. Throws
-  /// std::runtime_error if an address cannot be bound.
-  Deployment(const std::string &Folder, bool Trouble);
+  /// Folder: of the case; record.txt is written there. Nets: the second bytes
+  /// of addresses to choose from; any if empty. Throws std::runtime_error if
+  /// none is free.
+  Deployment(const std::string &Folder, bool Trouble,
+             const std::vector<uint8_t> &Nets = {});
   ~Deployment();
   Deployment(const Deployment &) = delete;
   Deployment &operator=(const Deployment &) = delete;
@@ -84,6 +86,8 @@
   void checkProcesses();
   /// Writes the manifest under a new version; acknowledged on return.
   void publish();
+  /// Where the routers send a balancer's packets.
+  static Address packetsOf(const Process &P);
   /// An address in the deployment's part of loopback.
   Address address(uint8_t Group, uint8_t Index, uint16_t Port) const;
   Server::Identity newIdentity(const Host &H);
@@ -108,10 +112,12 @@
   std::vector<Address> Seeds;
 
 private:
+  /// Takes the first free one of the nets, beginning with some of them.
+  void chooseNet(const std::vector<uint8_t> &Nets);
   Process newProcess(const std::string &Role, uint8_t Group, uint8_t Index);
   void reap(Process &P);
 
-  uint8_t Net_;
+  uint8_t Net_ = 0;
   std::string Temporary_;
   int LastId_ = 0;
 };
