Review: a late second copy of an answer ends an evacuation

Claimed: EVAC is broken when the store sends a second copy of a watch's answer while the next watch waits on the connection.

No functional change.

--- a/review/standins/clients.cpp
+++ b/review/standins/clients.cpp
@@ -51,13 +51,6 @@
   return true;
 }
 
-bool Routers::inRotation(Address Packets) const {
-  for (const Node &N : Nodes_)
-    if (N.Packets == Packets)
-      return N.Misses < MissesUntilOut;
-  return false;
-}
-
 std::optional<Address> Routers::balancerOf(const Flow &F) const {
   std::optional<Address> Best;
   uint64_t BestScore = 0;
--- a/review/standins/clients.h
+++ b/review/standins/clients.h
@@ -17,7 +17,6 @@
   /// Adds a balancer; it is probed twice a second.
   void add(Address Packets, Address Ready);
   bool allReady() const;
-  bool inRotation(Address Packets) const;
   /// Time until the balancer is probed next.
   Duration untilProbe(Address Packets) const;
   /// The balancer of a flow, by a steady hash over those in rotation.
--- a/review/standins/net.h
+++ b/review/standins/net.h
@@ -50,8 +50,9 @@
 /// The value of a parameter in a query; empty when it is missing.
 std::string parameter(const std::string &Query, const std::string &Key);
 
-/// Serves one listening address. Each request is answered by calling its Reply
-/// once, at once or later; Reply does nothing after its connection was closed.
+/// Serves one listening address. Each request is answered by calling its Reply,
+/// at once or later; Reply does nothing after its connection was closed. Each
+/// further call of it sends another copy.
 class HttpServer {
 public:
   using Reply = std::function<void(int Status, const std::string &Body)>;
--- a/review/standins/server.h
+++ b/review/standins/server.h
@@ -50,17 +50,12 @@
   /// Says that it leaves and ends.
   void leave();
 
-  bool isCold() const { return running() && now() < ColdUntil_; }
   bool running() const { return Health_ != nullptr; }
   bool holds(const Flow &F) const {
     const auto It = Flows_.find(F);
     return It != Flows_.end() && It->second.Open;
   }
   const Identity &identity() const { return Self_; }
-  const Addresses &addresses() const { return Given_; }
-  /// When a heartbeat that says draining was acknowledged first.
-  std::optional<TimePoint> drainAcknowledged() const { return DrainAcked_; }
-  uint64_t heartbeats() const { return Sequence_; }
   uint64_t acknowledgedHeartbeats() const { return AckedBeats_; }
 
 private:
--- a/review/standins/store.cpp
+++ b/review/standins/store.cpp
@@ -50,13 +50,6 @@
   return Result;
 }
 
-std::vector<std::string> Store::names(const std::string &Kind) const {
-  std::vector<std::string> Result;
-  for (const auto &[Name, Object] : objectsAsOf(Kind, now()))
-    Result.push_back(Name);
-  return Result;
-}
-
 void Store::apply(const std::string &Kind, const std::string &Name, Json Object,
                   bool Removed) {
   ++Revision_;
@@ -86,7 +79,6 @@
   const std::string Kind = Rest.substr(0, Slash);
   const std::string Name =
       Slash == std::string::npos ? "" : Rest.substr(Slash + 1);
-  ++Calls[Request.Method + " " + Kind];
   if (Request.Method != "GET")
     return write(Request, Kind, Name, Answer);
   const bool Serializable = parameter(Request.Query, "serializable") == "1";
@@ -113,10 +105,8 @@
                  const HttpServer::Reply &Answer) const {
   const std::string After = parameter(Request.Query, "after");
   TimePoint Time = now();
-  if (parameter(Request.Query, "serializable") == "1") {
-    const bool Later = !After.empty() && LaterPagesStaleBy;
-    Time -= Later ? *LaterPagesStaleBy : StaleBy;
-  }
+  if (parameter(Request.Query, "serializable") == "1")
+    Time -= StaleBy;
   Json Items = Json::array();
   bool Truncated = false;
   for (const auto &[Name, Object] : objectsAsOf(Kind, Time)) {
@@ -152,8 +142,6 @@
   if (It != Present.end() &&
       (Creates || (Condition && *Condition != It->second["meta"]["rev"])))
     return Answer(409, It->second.dump());
-  if (OnWrite)
-    OnWrite(Request.Method + " " + Kind + "/" + Name);
   if (Request.Method == "DELETE") {
     apply(Kind, Name, It->second, /*Removed=*/true);
     return Answer(200, "{}");
@@ -168,9 +156,12 @@
   for (auto It = Watches_.begin(); It != Watches_.end();) {
     const TimePoint View = It->Serializable ? now() - StaleBy : now();
     Json Changed = Json::array();
+    bool HasRemoval = false;
     for (const Event &E : History_)
-      if (E.Time <= View && E.Kind == It->Kind && E.Revision > It->From)
+      if (E.Time <= View && E.Kind == It->Kind && E.Revision > It->From) {
         Changed.push_back({{"object", E.Object}, {"removed", E.Removed}});
+        HasRemoval = HasRemoval || E.Removed;
+      }
     if (Changed.empty() && now() < It->Due) {
       ++It;
       continue;
@@ -178,8 +169,12 @@
     const Json Body = {{"events", std::move(Changed)},
                        {"currentRev", std::max(It->From, revisionAsOf(View))}};
     const HttpServer::Reply Answer = std::move(It->Answer);
+    const bool Repeated = HasRemoval && It->Kind == RepeatedKind;
     It = Watches_.erase(It);
     Answer(200, Body.dump());
+    if (Repeated)
+      Events_.after(RepeatAfter,
+                    [Answer, Text = Body.dump()] { Answer(200, Text); });
   }
 }
 
--- a/review/standins/store.h
+++ b/review/standins/store.h
@@ -22,19 +22,14 @@
   Duration StaleBy{};
   /// Items of a list's page, at most.
   size_t PageItems = 500;
-  /// If set, how old the state is that a serializable list of a kind shows
-  /// from its second page on.
-  std::optional<Duration> LaterPagesStaleBy;
+  /// If set, each answer to a watch of this kind that tells of a removal is
+  /// sent a second time on its connection, this long after the first.
+  std::string RepeatedKind;
+  Duration RepeatAfter{};
 
   /// Writes an object as the operator does; acknowledged on return.
   void put(const std::string &Kind, const std::string &Name, const Json &Spec);
   void remove(const std::string &Kind, const std::string &Name);
-  /// The names of a kind's objects at present.
-  std::vector<std::string> names(const std::string &Kind) const;
-  /// Calls of each method and kind that were answered.
-  std::map<std::string, int> Calls;
-  /// Called with each write that is not the operator's.
-  std::function<void(const std::string &What)> OnWrite;
 
 private:
   struct Event {
