Configuration: a peer that is behind as well no longer keeps a process behind

Cause: ConfigSource kept one time for all peers since when it had been behind, and each report of a peer that was not ahead cleared it. An agent hears all balancers twice a second, so that with old ones among them 300 ms never passed. The class: a wait that somebody else can reset or use up. Two more of it stood beside it: one fetch at a time, so that a frozen peer held up the others for its timeout of 1 s, and one channel for that fetch and for a seed that a process asks at its start.

Change: opaque::CatchUp keeps, for each peer that is ahead, since when. Once one has been ahead for 300 ms a fetch starts from the one heard last; another one is asked after 300 ms without an answer, or at once after a failure; an answer that brought nothing puts that peer aside for 2 s, until it reports more. Seeds have a channel of their own. A state that can't be read is logged.

--- /dev/null
+++ b/src/node/catchup_test.cpp
@@ -0,0 +1,79 @@
+// Guards against processes that stay behind although a peer in reach has a
+// newer configuration, while their own reads of the store are seconds old.
+#include "node/configfixture_test.h"
+
+namespace dragonflystall::node::test {
+namespace {
+
+using opaque::ConfigVersions;
+
+/// Peers report their versions twice a second.
+constexpr Duration ReportInterval = 500ms;
+
+/// A process whose store answers nothing new, and a peer with a newer manifest.
+struct CatchUpFromPeers : ConfigFixture {
+  static constexpr Endpoint AheadAddress = {StoreAddress.Ip, 18444};
+  static constexpr Endpoint OtherAddress = {StoreAddress.Ip, 18445};
+
+  platform::PeerState AheadState;
+  std::unique_ptr<HttpServer> Ahead;
+
+  void SetUp() override {
+    ConfigFixture::SetUp();
+    put(1);
+    ASSERT_TRUE(followsVersion(1));
+    AheadState.ManifestContent = manifest(2);
+    Ahead =
+        std::make_unique<HttpServer>(Shared.Base.get(), serving(AheadState));
+    ASSERT_TRUE(Ahead->listen(AheadAddress));
+  }
+  void report(int64_t Version, Endpoint Http) {
+    Source->onPeerVersions({Version, {}, 0}, Http, Shared.now());
+  }
+  /// Runs for a time in which both peers report as the balancers do.
+  void runWithReports(int64_t OtherVersion, Duration Length) {
+    for (Duration Passed{}; Passed < Length; Passed += ReportInterval) {
+      report(2, AheadAddress);
+      run(ReportInterval / 2);
+      report(OtherVersion, OtherAddress);
+      run(ReportInterval / 2);
+    }
+  }
+};
+
+// A peer that was behind as well made the process forget that another one was
+// ahead.
+TEST_F(CatchUpFromPeers, APeerThatIsBehindAsWellDoesNotDelayIt) {
+  runWithReports(1, 1s);
+  EXPECT_EQ(config().manifest().Version, 2);
+}
+
+// A peer that does not answer held up the fetch from the others for a second.
+TEST_F(CatchUpFromPeers, AFrozenPeerDoesNotDelayIt) {
+  const SilentServer Frozen(OtherAddress);
+  ASSERT_TRUE(Frozen.isListening());
+  report(2, AheadAddress);
+  report(2, OtherAddress);
+  run(opaque::CatchUp::WatchDelay + opaque::CatchUp::HedgeDelay + 250ms);
+  EXPECT_EQ(config().manifest().Version, 2);
+}
+
+// The fetch of a process that has just started, from a seed that is down, held
+// up the fetch from a peer that is ahead.
+TEST_F(CatchUpFromPeers, ASilentSeedDoesNotDelayIt) {
+  constexpr Endpoint Unreachable = {0x7f000001, 18446};
+  const SilentServer Frozen(Unreachable);
+  ASSERT_TRUE(Frozen.isListening());
+  ConfigSources Sources{
+      {StoreAddress, 20s, platform::Consistency::Serializable}, {Unreachable}};
+  Sources.AlwaysFetchFromSeeds = true;
+  Source = std::make_unique<ConfigSource>(
+      Shared, Health, Sources, ConfigSource::Callbacks{[] {}, [] {}, {}});
+  ASSERT_TRUE(followsVersion(1));
+  report(2, AheadAddress);
+  run(opaque::CatchUp::WatchDelay + 250ms);
+  EXPECT_EQ(config().manifest().Version, 2);
+}
+
+} // namespace
+} // namespace dragonflystall::node::test
--- a/src/node/configsource.cpp
+++ b/src/node/configsource.cpp
@@ -5,17 +5,13 @@
 
 namespace {
 
-/// How long a process that is behind a peer waits for its own watch before it
-/// fetches the peer's state: the store notifies all watches at about the same
-/// time.
-constexpr Duration PeerFetchDelay = 300ms;
 /// How long a starting process waits for the store before it fetches the state
 /// of a seed.
 constexpr Duration SeedFetchDelay = 400ms;
 /// How long a starting process tries to fetch the state of a seed although the
 /// store has answered (AlwaysFetchFromSeeds).
 constexpr Duration SeedFetchPeriod = 3s;
-constexpr Duration FetchInterval = 500ms;
+constexpr Duration SeedFetchInterval = 500ms;
 constexpr Duration FetchTimeout = 1s;
 
 constexpr std::array<std::string_view, 3> SourceNames = {"list", "watch",
@@ -69,16 +65,17 @@
   Evacuations_.poll(Now);
   if (Config_.evacuations().expire(Now, Health_.up()))
     onEvacuationsChanged("hold");
-  if (isSeedFetchDue(Now) && Now >= NextFetch_)
-    fetch(Sources_.Seeds[NextSeed_++ % Sources_.Seeds.size()], Now);
+  if (isSeedFetchDue(Now) && Now >= NextSeedFetch_)
+    fetchFromSeed(Now);
+  catchUp(Now);
 }
 
 void ConfigSource::logHistory(const opaque::RouteHistoryState &Theirs,
-                              int64_t TheirManifest) {
+                              int64_t TheirManifest, Endpoint Peer) {
   const TimePoint Now = Services_.now();
   const opaque::RouteHistoryState Ours = Config_.history().state(Now);
   auto Line = Services_.log(LogClass::State, "route-history");
-  Line.text("peer", toString(PeerChannel_->server()))
+  Line.text("peer", toString(Peer))
       .number("peer_manifest", TheirManifest)
       .number("manifest", Config_.manifest().Version)
       .number("peer_former", Theirs.Former.size())
@@ -143,20 +140,20 @@
   Callbacks_.OnManifest();
 }
 
-bool ConfigSource::offerManifestOfPeer(const platform::PeerState &State) {
+void ConfigSource::offerManifestOfPeer(const platform::PeerState &State,
+                                       Endpoint Peer) {
   if (State.ManifestContent.empty())
-    return false;
+    return;
   auto Theirs = readManifest(State.ManifestContent, Source::Peer);
   if (!Theirs)
-    return false;
+    return;
   const int64_t TheirVersion = Theirs->Version;
   const int64_t Before = Config_.manifest().Version;
   const bool Taken =
       Config_.offerOfPeer(std::move(*Theirs), State.History, Services_.now());
   if (Taken)
     onManifestTaken(State.ManifestContent, Source::Peer, Before);
-  logHistory(State.History, TheirVersion);
-  return Taken;
+  logHistory(State.History, TheirVersion, Peer);
 }
 
 void ConfigSource::offerEvacuations(const opaque::Evacuations &Newer,
@@ -178,50 +175,82 @@
 
 void ConfigSource::onPeerVersions(const opaque::ConfigVersions &PeerVersions,
                                   Endpoint PeerHttp, TimePoint Now) {
-  if (!isBehind(opaque::configVersionsOf(Config_), PeerVersions)) {
-    BehindSince_.reset();
+  CatchUp_.onReport(PeerHttp, PeerVersions, opaque::configVersionsOf(Config_),
+                    Now);
+  catchUp(Now);
+}
+
+void ConfigSource::catchUp(TimePoint Now) {
+  if (CatchUp_.isIdle())
     return;
-  }
-  if (!BehindSince_)
-    BehindSince_ = Now;
-  if (Now - *BehindSince_ >= PeerFetchDelay && Now >= NextFetch_)
-    fetch(PeerHttp, Now);
+  const auto Peer = CatchUp_.next(opaque::configVersionsOf(Config_), Now);
+  if (!Peer)
+    return;
+  const auto Free = std::find_if(
+      CatchUpChannels_.begin(), CatchUpChannels_.end(),
+      [](const auto &Channel) { return !Channel || !Channel->busy(); });
+  fetch(*Free, *Peer,
+        [this, Peer = *Peer](const std::optional<platform::PeerState> &State) {
+          if (!State)
+            return CatchUp_.onFailure(Peer, Services_.now());
+          const opaque::ConfigVersions Before =
+              opaque::configVersionsOf(Config_);
+          onPeerState(*State, Peer);
+          replaceOutdatedWatches(Before);
+          CatchUp_.onAnswer(Peer, opaque::configVersionsOf(Config_),
+                            Services_.now());
+        });
 }
 
-void ConfigSource::fetch(Endpoint Peer, TimePoint Now) {
-  NextFetch_ = Now + FetchInterval;
-  if (PeerChannel_ && PeerChannel_->busy())
+void ConfigSource::fetchFromSeed(TimePoint Now) {
+  NextSeedFetch_ = Now + SeedFetchInterval;
+  if (SeedChannel_ && SeedChannel_->busy())
     return;
-  PeerChannel_ = std::make_unique<HttpChannel>(Services_.Base.get(), Peer);
-  PeerChannel_->request(
+  const Endpoint Seed = Sources_.Seeds[NextSeed_++ % Sources_.Seeds.size()];
+  fetch(SeedChannel_, Seed,
+        [this, Seed](const std::optional<platform::PeerState> &State) {
+          if (State)
+            onPeerState(*State, Seed);
+        });
+}
+
+void ConfigSource::fetch(std::unique_ptr<HttpChannel> &Channel, Endpoint Peer,
+                         StateHandler OnState) {
+  Channel = std::make_unique<HttpChannel>(Services_.Base.get(), Peer);
+  Channel->request(
       {HttpMethod::Get, "/state", {}}, FetchTimeout,
-      [this](const tl::expected<HttpResponse, HttpFailure> &Result) {
-        if (!Result || Result->Status != HttpStatus::Ok) {
+      [this, Peer, OnState = std::move(OnState)](
+          const tl::expected<HttpResponse, HttpFailure> &Result) {
+        const bool IsAnswered = Result && Result->Status == HttpStatus::Ok;
+        const auto State =
+            IsAnswered ? platform::decodePeerState(Result->Body) : std::nullopt;
+        if (!State)
           Services_.log(LogClass::Notable, "peer-state-failed")
-              .text("peer", toString(PeerChannel_->server()));
-          return;
-        }
-        if (const auto State = platform::decodePeerState(Result->Body))
-          onPeerState(*State);
+              .text("peer", toString(Peer))
+              .number("answered", IsAnswered);
+        OnState(State);
       });
 }
 
-void ConfigSource::onPeerState(const platform::PeerState &State) {
+void ConfigSource::onPeerState(const platform::PeerState &State,
+                               Endpoint Peer) {
   ++PeerAnswers_;
   AgentsKnown_ = AgentsKnown_ || State.Agents.IsComplete;
-  const bool WasBehind = BehindSince_.has_value();
-  BehindSince_.reset();
-  const opaque::StoreRevision Revision = Config_.evacuations().revision();
-  const bool NewManifest = offerManifestOfPeer(State);
+  offerManifestOfPeer(State, Peer);
   if (State.Evacuations.Revision.isSet())
     offerEvacuations(State.Evacuations, "peer");
   if (Callbacks_.OnAgents)
     Callbacks_.OnAgents(State.Agents);
+}
+
+void ConfigSource::replaceOutdatedWatches(
+    const opaque::ConfigVersions &Before) {
   // This process's own watches should have delivered the state that the peer
   // had. They have stopped working: list and watch again.
-  if (WasBehind && NewManifest && Manifests_.listed())
+  if (Config_.manifest().Version > Before.ManifestVersion &&
+      Manifests_.listed())
     Manifests_.restart();
-  if (WasBehind && Config_.evacuations().revision() > Revision &&
+  if (Config_.evacuations().revision() > Before.EvacuationRevision &&
       Evacuations_.listed())
     Evacuations_.restart();
 }
--- a/src/node/configsource.h
+++ b/src/node/configsource.h
@@ -4,7 +4,7 @@
 #define DRAGONFLYSTALL_SRC_NODE_CONFIGSOURCE_H
 
 #include "node/objectwatcher.h"
-#include "opaque/control.h"
+#include "opaque/catchup.h"
 
 namespace dragonflystall::node {
 
@@ -40,8 +40,9 @@
   const std::string &manifestContent() const { return ManifestContent_; }
 
   void poll(TimePoint Now);
-  /// Handles the versions that a peer has reported. Fetches the peer's state
-  /// from PeerHttp when this process stays behind.
+  /// Handles the versions that a peer has reported. Fetches the configuration
+  /// from PeerHttp, or from another peer that is ahead, when this process stays
+  /// behind.
   void onPeerVersions(const opaque::ConfigVersions &PeerVersions,
                       Endpoint PeerHttp, TimePoint Now);
   /// Sets the consistency of the watches from the next calls on.
@@ -67,14 +68,26 @@
                         std::string_view From);
   /// From: the source of the change, for the log.
   void onEvacuationsChanged(std::string_view From);
-  void fetch(Endpoint Peer, TimePoint Now);
-  void onPeerState(const platform::PeerState &State);
-  /// Takes the manifest and the route history of a peer. Returns whether the
-  /// manifest is newer than ours was.
-  bool offerManifestOfPeer(const platform::PeerState &State);
+  using StateHandler =
+      std::function<void(const std::optional<platform::PeerState> &)>;
+
+  /// Fetches the state of a seed, for a process that has just started.
+  void fetchFromSeed(TimePoint Now);
+  /// Fetches from a peer that is ahead, if a fetch is due.
+  void catchUp(TimePoint Now);
+  /// Requests a peer's state over the channel, which it replaces. Calls OnState
+  /// with the state, or with std::nullopt if there is none that can be read.
+  void fetch(std::unique_ptr<HttpChannel> &Channel, Endpoint Peer,
+             StateHandler OnState);
+  void onPeerState(const platform::PeerState &State, Endpoint Peer);
+  /// Replaces the watches that have not delivered what a peer had. Before: the
+  /// versions before the peer's state was taken.
+  void replaceOutdatedWatches(const opaque::ConfigVersions &Before);
+  /// Takes the manifest and the route history of a peer.
+  void offerManifestOfPeer(const platform::PeerState &State, Endpoint Peer);
   /// Logs the route history after that of a peer was merged.
   void logHistory(const opaque::RouteHistoryState &Theirs,
-                  int64_t TheirManifest);
+                  int64_t TheirManifest, Endpoint Peer);
 
   bool isSeedFetchDue(TimePoint Now) const;
   /// Whether seeds may know agents or former services that this process, which
@@ -92,15 +105,18 @@
   std::set<std::string> ListedZones_;
   ObjectWatcher Manifests_;
   ObjectWatcher Evacuations_;
-  std::unique_ptr<HttpChannel> PeerChannel_;
   TimePoint StartedAt_;
-  TimePoint NextFetch_{};
+  // Fetches from seeds and from peers that are ahead use channels of their own:
+  // a seed that is down does not keep this process behind.
+  std::unique_ptr<HttpChannel> SeedChannel_;
+  TimePoint NextSeedFetch_{};
   size_t NextSeed_ = 0;
   size_t PeerAnswers_ = 0;
   /// A peer that knows all agents has answered.
   bool AgentsKnown_ = false;
-  /// Since when a peer has had a newer configuration; unset when none has.
-  std::optional<TimePoint> BehindSince_;
+  opaque::CatchUp CatchUp_;
+  std::array<std::unique_ptr<HttpChannel>, opaque::CatchUp::MaxFetches>
+      CatchUpChannels_;
 };
 
 } // namespace dragonflystall::node
--- a/src/node/restoredstore_test.cpp
+++ b/src/node/restoredstore_test.cpp
@@ -1,75 +1,11 @@
 // Guards against outdated or lost configuration after the store has come back
 // from an older copy: revisions go back and are given out again.
-#include "node/configsource.h"
-#include "platform/standinformats.h"
-#include "soak/store.h"
+#include "node/configfixture_test.h"
 
-#include <csignal>
-#include <gtest/gtest.h>
-
-namespace dragonflystall::node {
+namespace dragonflystall::node::test {
 namespace {
 
-using opaque::ConfigVersions;
-using platform::ObjectKind;
-
-constexpr Endpoint StoreAddress = {0x7f000001, 18441};
-const Endpoint Route = {0x0a000001, 443};
-
-std::string manifest(int64_t Version, const std::string &Service = "desk") {
-  opaque::Manifest Manifest;
-  Manifest.Version = Version;
-  Manifest.Routes[Route] = {{{Service, 1}}, 1s, 1};
-  return platform::encodeManifest(Manifest);
-}
-
-/// A store and one process's view of the configuration, on one event loop.
-struct RestoredStore : testing::Test {
-  Services Shared{"test"};
-  soak::Store Store{Shared, StoreAddress};
-  StoreHealth Health{Shared};
-  std::unique_ptr<ConfigSource> Source;
-
-  void SetUp() override {
-    std::signal(SIGPIPE, SIG_IGN);
-    Source = std::make_unique<ConfigSource>(
-        Shared, Health,
-        ConfigSources{{StoreAddress, 20s, platform::Consistency::Serializable},
-                      {}},
-        ConfigSource::Callbacks{[] {}, [] {}, {}});
-  }
-  const opaque::Configuration &config() const { return Source->config(); }
-  void put(int64_t Version) {
-    Store.put(ObjectKind::Manifest, std::string(platform::ManifestName),
-              manifest(Version));
-  }
-  void evacuate(const std::string &Zone) {
-    Store.put(ObjectKind::Evacuation, Zone, "{}");
-  }
-  void pollOnce() {
-    const TimePoint Now = Shared.now();
-    Source->poll(Now);
-    Store.tick(Now);
-    constexpr timeval PollInterval = {0, 5000};
-    event_base_loopexit(Shared.Base.get(), &PollInterval);
-    event_base_dispatch(Shared.Base.get());
-  }
-  void run(Duration Length) {
-    const TimePoint End = Shared.now() + Length;
-    while (Shared.now() < End)
-      pollOnce();
-  }
-  /// Returns whether the condition came true within a time in which the process
-  /// reaches the store again whatever its backoff.
-  template <typename Condition> bool comesTrue(Condition IsTrue) {
-    const TimePoint End = Shared.now() + 3s;
-    while (!IsTrue() && Shared.now() < End)
-      pollOnce();
-    return IsTrue();
-  }
-  bool followsVersion(int64_t Version) {
-    return comesTrue([&] { return config().manifest().Version == Version; });
-  }
+struct RestoredStore : ConfigFixture {
   /// The store is away for as long as all watches notice, and returns from the
   /// copy. The operator may write again before the process reaches it.
   void restore(const soak::Store::Copy &Copy) {
@@ -157,17 +93,13 @@
 // Guards against a balancer that takes the answer of a peer which has just
 // started, too, for all there is to know: an open flow was reset.
 TEST_F(RestoredStore, AnotherPeerIsAskedAfterOneThatKnowsNothing) {
-  const auto Serving = [](platform::PeerState State) {
-    State.ManifestContent = manifest(1);
-    return [State](const HttpRequest &) {
-      return jsonResponse(HttpStatus::Ok, platform::encodePeerState(State));
-    };
-  };
-  platform::PeerState Informed;
+  platform::PeerState New;
+  New.ManifestContent = manifest(1);
+  platform::PeerState Informed = New;
   Informed.Agents = {{{"a", "desk", "zone-a", {1, 1}, {1, 2}}}, true};
   Informed.History.Span = opaque::RouteHistory::DefaultMaxFlowAge;
-  HttpServer NewPeer(Shared.Base.get(), Serving({}));
-  HttpServer OldPeer(Shared.Base.get(), Serving(Informed));
+  HttpServer NewPeer(Shared.Base.get(), serving(New));
+  HttpServer OldPeer(Shared.Base.get(), serving(Informed));
   const Endpoint NewAddress = {StoreAddress.Ip, 18442};
   const Endpoint OldAddress = {StoreAddress.Ip, 18443};
   ASSERT_TRUE(NewPeer.listen(NewAddress) && OldPeer.listen(OldAddress));
@@ -186,4 +118,4 @@
 }
 
 } // namespace
-} // namespace dragonflystall::node
+} // namespace dragonflystall::node::test
