Store: a process that becomes a primary reader replaces its watch at once

Cause: the consistency was read at the next call, and a watch waits for up to 15 s. Change: a serializable watch in progress is dropped and sent again, from the same revision, when the process is to read linearizably. The other way round nothing is hurried. It costs one more call per watch and new primary reader.

The soak's store can answer serializable reads with the state of some seconds ago, so that the test can play it (and the soak can, later).

--- a/soak/store.cpp
+++ b/soak/store.cpp
@@ -8,6 +8,13 @@
 
 namespace dragonflystall::soak {
 
+namespace {
+
+/// States before this are not kept, so that reads are not older.
+constexpr Duration MaxStaleness = 10s;
+
+} // namespace
+
 Store::Store(node::Services &Shared, Endpoint Listen)
     : Shared_(Shared), Http_(evhttp_new(Shared.Base.get())) {
   evhttp_set_gencb(Http_, &Store::onRequest, this);
@@ -16,6 +23,7 @@
   if (evhttp_bind_socket(Http_, ipText(Listen.Ip).c_str(), Listen.Port) != 0)
     throw std::runtime_error(toString(Listen) +
                              ": cannot bind the store's address");
+  recordState();
 }
 
 Store::~Store() { evhttp_free(Http_); }
@@ -62,9 +70,10 @@
 }
 
 HttpResponse Store::read(const platform::StoreCall &Call) const {
-  const auto Kind = Kinds_.find(Call.Kind);
+  const Copy &Visible = visibleState(Call.Serializable).State;
+  const auto Kind = Visible.Kinds.find(Call.Kind);
   const Objects None;
-  const Objects &Listed = Kind == Kinds_.end() ? None : Kind->second;
+  const Objects &Listed = Kind == Visible.Kinds.end() ? None : Kind->second;
   if (!Call.Name.empty()) {
     const auto It = Listed.find(Call.Name);
     return It == Listed.end()
@@ -73,7 +82,7 @@
                               platform::encodeObject(It->second));
   }
   platform::Page Page;
-  Page.Revision = Revision_;
+  Page.Revision = Visible.Revision;
   for (const auto &[Name, Object] : Listed)
     if (Name > Call.After)
       Page.Objects.push_back(Object);
@@ -109,9 +118,26 @@
   else
     Kinds_[Kind][Object.Name] = Object;
   History_.push_back({Kind, {std::move(Object), Removed}});
+  recordState();
   answerWatches();
 }
 
+void Store::recordState() {
+  const TimePoint Now = Shared_.now();
+  States_.push_back({Now, copy()});
+  while (States_.size() > 1 && Now - States_[1].Since > MaxStaleness)
+    States_.pop_front();
+}
+
+const Store::PastState &Store::visibleState(bool Serializable) const {
+  const TimePoint Time =
+      Shared_.now() - (Serializable ? Faults_.StaleReads : Duration::zero());
+  const auto After =
+      std::find_if(States_.begin() + 1, States_.end(),
+                   [Time](const PastState &Past) { return Past.Since > Time; });
+  return *(After - 1);
+}
+
 void Store::put(platform::ObjectKind Kind, const std::string &Name,
                 const std::string &Content) {
   applyChange(std::string(name(Kind)), {Name, 0, Content}, /*Removed=*/false);
@@ -135,10 +161,13 @@
 Store::changesFor(const platform::StoreCall &Call) const {
   if (*Call.WatchFrom < OldestRevision_ || *Call.WatchFrom > Revision_)
     return emptyJsonResponse(HttpStatus::Gone);
+  const int64_t Visible = visibleState(Call.Serializable).State.Revision;
   platform::Changes Changes;
-  Changes.Revision = Revision_;
+  Changes.Revision = std::max(Visible, *Call.WatchFrom);
   for (const Event &Entry : History_)
-    if (Entry.Kind == Call.Kind && Entry.Change.Item.Revision > *Call.WatchFrom)
+    if (Entry.Kind == Call.Kind &&
+        Entry.Change.Item.Revision > *Call.WatchFrom &&
+        Entry.Change.Item.Revision <= Visible)
       Changes.Events.push_back(Entry.Change);
   if (Changes.Events.empty())
     return std::nullopt;
@@ -183,7 +212,12 @@
   const auto Changes = changesFor(Due.Call);
   reply(Due.Request,
         Changes.value_or(jsonResponse(
-            HttpStatus::Ok, platform::encodeChanges({{}, Revision_}))));
+            HttpStatus::Ok,
+            platform::encodeChanges(
+                {{},
+                 std::max(
+                     *Due.Call.WatchFrom,
+                     visibleState(Due.Call.Serializable).State.Revision)}))));
 }
 
 void Store::reply(evhttp_request *Request, const HttpResponse &Response) {
@@ -213,6 +247,8 @@
   std::erase_if(History_, [&](const Event &Entry) {
     return Entry.Change.Item.Revision > Revision_;
   });
+  States_.clear();
+  recordState();
 }
 
 void Store::deleteHistory() {
@@ -220,6 +256,8 @@
   // The new revision refuses pending watches as well as later ones from earlier
   // revisions.
   OldestRevision_ = ++Revision_;
+  States_.clear();
+  recordState();
   answerWatches();
 }
 
--- a/soak/store.h
+++ b/soak/store.h
@@ -6,6 +6,7 @@
 #include "node/services.h"
 #include "platform/standinformats.h"
 
+#include <deque>
 #include <list>
 #include <map>
 
@@ -19,6 +20,9 @@
   Duration Delay{};  ///< Of each answer but those to watches.
   /// Share of writes that are executed but whose answer is lost.
   double LostAnswers = 0;
+  /// Serializable reads show the state as it was this long ago, but none from
+  /// before a restore or a deletion of the history.
+  Duration StaleReads{};
 
   bool any() const {
     return Down || Delay > Duration::zero() || LostAnswers > 0;
@@ -64,12 +68,17 @@
     TimePoint Due;
   };
   using Objects = std::map<std::string, platform::Object>;
+  struct PastState;
 
   static void onRequest(evhttp_request *Request, void *Self);
   void serve(evhttp_request *Request);
   HttpResponse execute(const HttpRequest &Request,
                        const platform::StoreCall &Call);
   HttpResponse read(const platform::StoreCall &Call) const;
+  /// The state that a read with this consistency sees.
+  const PastState &visibleState(bool Serializable) const;
+  /// Records the present state for reads that are outdated.
+  void recordState();
   HttpResponse write(const HttpRequest &Request,
                      const platform::StoreCall &Call);
   /// The answer to a watch, or std::nullopt if there is no change yet.
@@ -89,6 +98,8 @@
   int64_t Revision_ = 1;
   /// The oldest revision that a watch may start from.
   int64_t OldestRevision_ = 1;
+  /// The state after each change, in order; the last one is the present one.
+  std::deque<PastState> States_;
   std::list<PendingCall> PendingCalls_;
   StoreFaults Faults_;
 };
@@ -98,6 +109,11 @@
   int64_t Revision = 0;
 };
 
+struct Store::PastState {
+  TimePoint Since;
+  Copy State;
+};
+
 } // namespace dragonflystall::soak
 
 #endif
--- a/src/node/catchup_test.cpp
+++ b/src/node/catchup_test.cpp
@@ -75,5 +75,27 @@
   EXPECT_EQ(config().manifest().Version, 2);
 }
 
+/// A process that learns from the store alone, whose serializable reads are
+/// seconds old.
+struct OutdatedReads : ConfigFixture {
+  void SetUp() override {
+    ConfigFixture::SetUp();
+    put(1);
+    ASSERT_TRUE(followsVersion(1));
+    Store.setFaults({.StaleReads = 5s});
+  }
+};
+
+// A process that became a primary reader kept its serializable watch until that
+// ended, up to 15 s later: after a restart of all balancers none knew a change.
+TEST_F(OutdatedReads, APrimaryReaderReplacesItsSerializableWatchAtOnce) {
+  put(2);
+  run(500ms);
+  ASSERT_EQ(config().manifest().Version, 1);
+  Source->setConsistency(platform::Consistency::Linearizable);
+  run(500ms);
+  EXPECT_EQ(config().manifest().Version, 2);
+}
+
 } // namespace
 } // namespace dragonflystall::node::test
--- a/src/node/configsource.h
+++ b/src/node/configsource.h
@@ -45,7 +45,7 @@
   /// behind.
   void onPeerVersions(const opaque::ConfigVersions &PeerVersions,
                       Endpoint PeerHttp, TimePoint Now);
-  /// Sets the consistency of the watches from the next calls on.
+  /// See ObjectWatcher::setConsistency.
   void setConsistency(platform::Consistency Level) {
     Manifests_.setConsistency(Level);
     Evacuations_.setConsistency(Level);
--- a/src/node/objectwatcher.cpp
+++ b/src/node/objectwatcher.cpp
@@ -82,6 +82,16 @@
 }
 
 void ObjectWatcher::restart(platform::Consistency ListConsistency) {
+void ObjectWatcher::setConsistency(platform::Consistency Level) {
+  if (Level == std::exchange(WatchConsistency_, Level) ||
+      Level == platform::Consistency::Serializable || !Watch_.isWatching())
+    return;
+  // It could deliver changes seconds late until it ends.
+  Channel_.abandon();
+  Watch_.onAbandoned();
+  poll(Services_.now());
+}
+
   ListConsistency_ = ListConsistency;
   Channel_.abandon();
   Watch_.restart();
--- a/src/node/objectwatcher.h
+++ b/src/node/objectwatcher.h
@@ -66,10 +66,9 @@
                 const WatchSettings &Watching, platform::ObjectKind Kind,
                 Callbacks Notify);
 
-  /// Sets the consistency of the watches from the next call on.
-  void setConsistency(platform::Consistency Level) {
-    WatchConsistency_ = Level;
-  }
+  /// Sets the consistency of the watches. A serializable watch in progress is
+  /// replaced if they are to be linearizable from now on.
+  void setConsistency(platform::Consistency Level);
   /// See StoreWatch::setPause.
   void setPause(Duration Pause) { Watch_.setPause(Pause); }
 
--- a/src/opaque/storewatch.h
+++ b/src/opaque/storewatch.h
@@ -118,6 +118,12 @@
     ListAfter_.clear();
     FirstPage_ = {};
   }
+  /// The user has abandoned the watch in progress; another one, from the same
+  /// revision, is due at once.
+  void onAbandoned() {
+    CallInProgress_ = false;
+    NextWatch_ = {};
+  }
   void onFailure(TimePoint Now) {
     CallInProgress_ = false;
     // While it did not answer, the store may have come back from a copy, and
@@ -128,6 +134,8 @@
 
   /// Whether the whole list was read and changes are watched.
   bool listed() const { return Revision_.has_value(); }
+  /// Whether a watch is in progress.
+  bool isWatching() const { return CallInProgress_ && Revision_; }
   /// Whether the next onPage() starts a new list.
   bool isAtFirstPage() const { return !FirstPage_.isSet(); }
   StoreRevision revision() const { return Revision_.value_or(StoreRevision{}); }
