Store: who has caught up with a peer lists again only if its watch is dead

What the users would have seen: with serializable reads seconds old, each process that had a change from a peer sent a linearizable list for it. At 11,410 processes that is 11,410 reads for one change, against a rate of 2,000 a second for all, each at ten times the price; the rest got 429.

Cause: a peer that was ahead was taken for a proof that the own watch had stopped working. A serializable watch may be seconds late and still deliver. Change: WatchLag notes what a watch owes. Only one that is over 10 s late is replaced; until then the process follows its peers.

--- a/src/node/catchup_test.cpp
+++ b/src/node/catchup_test.cpp
@@ -97,5 +97,22 @@
   EXPECT_EQ(config().manifest().Version, 2);
 }
 
+// Each process that had caught up with a peer listed linearizably, for each
+// change: more reads than the store allows while many reads are old.
+TEST_F(OutdatedReads, AProcessThatHasCaughtUpReadsSerializably) {
+  platform::PeerState State;
+  State.ManifestContent = manifest(2);
+  HttpServer Ahead(Shared.Base.get(), serving(State));
+  const Endpoint Address = {StoreAddress.Ip, 18447};
+  ASSERT_TRUE(Ahead.listen(Address));
+  put(2);
+  Source->onPeerVersions({2, {}, 0}, Address, Shared.now());
+  ASSERT_TRUE(followsVersion(2));
+  run(1s);
+  EXPECT_EQ(Shared.Counts.prometheusText().find(
+                name(platform::Consistency::Linearizable)),
+            std::string::npos);
+}
+
 } // namespace
 } // namespace dragonflystall::node::test
--- a/src/node/configsource.cpp
+++ b/src/node/configsource.cpp
@@ -36,25 +36,23 @@
                         Objects.push_back(Event.Item);
                     onManifests(Objects, Source::Watch);
                   }}),
-      Evacuations_(
-          Shared, Health, Sources_.Watching, platform::ObjectKind::Evacuation,
-          {[this](const platform::Page &P, bool First) {
-             if (First)
-               ListedZones_.clear();
-             for (const platform::Object &O : P.Objects)
-               ListedZones_.insert(O.Name);
-           },
-           [this] {
-             offerEvacuations({Evacuations_.revision(), ListedZones_}, "store");
-           },
-           [this](const platform::Changes &C) {
-             for (const platform::Change &Event : C.Events)
-               if (Event.Removed)
-                 ListedZones_.erase(Event.Item.Name);
-               else
-                 ListedZones_.insert(Event.Item.Name);
-             offerEvacuations({Evacuations_.revision(), ListedZones_}, "store");
-           }}),
+      Evacuations_(Shared, Health, Sources_.Watching,
+                   platform::ObjectKind::Evacuation,
+                   {[this](const platform::Page &P, bool First) {
+                      if (First)
+                        ListedZones_.clear();
+                      for (const platform::Object &O : P.Objects)
+                        ListedZones_.insert(O.Name);
+                    },
+                    [this] { onListedZones(); },
+                    [this](const platform::Changes &C) {
+                      for (const platform::Change &Event : C.Events)
+                        if (Event.Removed)
+                          ListedZones_.erase(Event.Item.Name);
+                        else
+                          ListedZones_.insert(Event.Item.Name);
+                      onListedZones();
+                    }}),
       StartedAt_(Shared.now()) {
   if (Sources_.FirstStart)
     Config_.history().onFirstStart(StartedAt_);
@@ -68,6 +66,7 @@
   if (isSeedFetchDue(Now) && Now >= NextSeedFetch_)
     fetchFromSeed(Now);
   catchUp(Now);
+  replaceOverdueWatches(Now);
 }
 
 void ConfigSource::logHistory(const opaque::RouteHistoryState &Theirs,
@@ -111,8 +110,11 @@
     if (O.Name != platform::ManifestName)
       continue;
     auto Newer = readManifest(O.Content, From);
+    if (!Newer)
+      continue;
     const int64_t Before = Config_.manifest().Version;
-    if (Newer && Config_.offer(std::move(*Newer), Continuity, Services_.now()))
+    ManifestLag_.onDelivered(Newer->Version, Before, Services_.now());
+    if (Config_.offer(std::move(*Newer), Continuity, Services_.now()))
       onManifestTaken(O.Content, From, Before);
   }
 }
@@ -156,6 +158,12 @@
   logHistory(State.History, TheirVersion, Peer);
 }
 
+void ConfigSource::onListedZones() {
+  EvacuationLag_.onDelivered(Evacuations_.revision(),
+                             Config_.evacuations().revision(), Services_.now());
+  offerEvacuations({Evacuations_.revision(), ListedZones_}, "store");
+}
+
 void ConfigSource::offerEvacuations(const opaque::Evacuations &Newer,
                                     std::string_view From) {
   EvacuationsKnown_ = true;
@@ -196,7 +204,7 @@
           const opaque::ConfigVersions Before =
               opaque::configVersionsOf(Config_);
           onPeerState(*State, Peer);
-          replaceOutdatedWatches(Before);
+          noteWatchLag(Before);
           CatchUp_.onAnswer(Peer, opaque::configVersionsOf(Config_),
                             Services_.now());
         });
@@ -243,15 +251,19 @@
     Callbacks_.OnAgents(State.Agents);
 }
 
-void ConfigSource::replaceOutdatedWatches(
-    const opaque::ConfigVersions &Before) {
-  // This process's own watches should have delivered the state that the peer
-  // had. They have stopped working: list and watch again.
-  if (Config_.manifest().Version > Before.ManifestVersion &&
-      Manifests_.listed())
+void ConfigSource::noteWatchLag(const opaque::ConfigVersions &Before) {
+  const int64_t Version = Config_.manifest().Version;
+  const opaque::StoreRevision Revision = Config_.evacuations().revision();
+  if (Version > Before.ManifestVersion)
+    ManifestLag_.onPeerAhead(Version, Services_.now());
+  if (Revision > Before.EvacuationRevision)
+    EvacuationLag_.onPeerAhead(Revision, Services_.now());
+}
+
+void ConfigSource::replaceOverdueWatches(TimePoint Now) {
+  if (ManifestLag_.takeOverdue(Now) && Manifests_.listed())
     Manifests_.restart();
-  if (Config_.evacuations().revision() > Before.EvacuationRevision &&
-      Evacuations_.listed())
+  if (EvacuationLag_.takeOverdue(Now) && Evacuations_.listed())
     Evacuations_.restart();
 }
 
--- a/src/node/configsource.h
+++ b/src/node/configsource.h
@@ -64,6 +64,7 @@
                                                Source From);
   /// Before: the version of the manifest that the new one replaces.
   void onManifestTaken(const std::string &Content, Source From, int64_t Before);
+  void onListedZones();
   void offerEvacuations(const opaque::Evacuations &Newer,
                         std::string_view From);
   /// From: the source of the change, for the log.
@@ -80,9 +81,11 @@
   void fetch(std::unique_ptr<HttpChannel> &Channel, Endpoint Peer,
              StateHandler OnState);
   void onPeerState(const platform::PeerState &State, Endpoint Peer);
-  /// Replaces the watches that have not delivered what a peer had. Before: the
-  /// versions before the peer's state was taken.
-  void replaceOutdatedWatches(const opaque::ConfigVersions &Before);
+  /// Notes what the watches have yet to deliver. Before: the versions before
+  /// the state of a peer that is ahead was taken.
+  void noteWatchLag(const opaque::ConfigVersions &Before);
+  /// Replaces the watches that have stopped working.
+  void replaceOverdueWatches(TimePoint Now);
   /// Takes the manifest and the route history of a peer.
   void offerManifestOfPeer(const platform::PeerState &State, Endpoint Peer);
   /// Logs the route history after that of a peer was merged.
@@ -105,6 +108,8 @@
   std::set<std::string> ListedZones_;
   ObjectWatcher Manifests_;
   ObjectWatcher Evacuations_;
+  opaque::WatchLag<int64_t> ManifestLag_;
+  opaque::WatchLag<opaque::StoreRevision> EvacuationLag_;
   TimePoint StartedAt_;
   // Fetches from seeds and from peers that are ahead use channels of their own:
   // a seed that is down does not keep this process behind.
--- a/src/opaque/storewatch.h
+++ b/src/opaque/storewatch.h
@@ -152,6 +152,43 @@
   bool IsEraUncertain_ = false;
 };
 
+/// Tells whether a watch has stopped working, by what peers knew before it.
+/// Serializable watches may be seconds late. Position: a version or revision
+/// that grows.
+template <typename Position> class WatchLag {
+public:
+  /// A watch that is later than this has missed the change.
+  static constexpr Duration MaxLag = 10s;
+
+  /// A peer has brought this, and the watch has yet to deliver it.
+  void onPeerAhead(Position Known, TimePoint Now) {
+    if (!Owed_)
+      Owed_ = {Known, Now};
+  }
+  /// The watch has delivered this. Newest: all that is known from any source.
+  void onDelivered(Position Delivered, Position Newest, TimePoint Now) {
+    if (!Owed_ || Delivered < Owed_->Known)
+      return;
+    Owed_.reset();
+    if (Delivered < Newest)
+      onPeerAhead(Newest, Now);
+  }
+  /// Whether the watch must be replaced. If so, it owes nothing afterwards.
+  bool takeOverdue(TimePoint Now) {
+    if (!Owed_ || Now - Owed_->Since <= MaxLag)
+      return false;
+    Owed_.reset();
+    return true;
+  }
+
+private:
+  struct Debt {
+    Position Known;
+    TimePoint Since;
+  };
+  std::optional<Debt> Owed_; ///< The earliest.
+};
+
 } // namespace dragonflystall::opaque
 
 #endif
