Store: primary readers that can't read or are frozen are replaced

What callers could see: with serializable reads seconds old, a change was known to nobody in time when the three primary readers were turned away by the store, or until 3 s after they froze.

Cause: a primary reader kept its rank as long as it sent pings, whether or not the store answered it, and for 3 s after its last ping. Change: pings say whether the store has answered within a second, agents rank those first that it answers, and after 1.5 s without a ping nobody stands behind a balancer any more. Where the store answers nobody the order is as before, so that no more balancers than before call it at the full price.

Known to be left: a store that lets a call of a reader hang is noticed only when the watch times out, after up to 18 s.

--- a/src/node/agent.cpp
+++ b/src/node/agent.cpp
@@ -222,7 +222,7 @@
   Message.Busy = Gate_.busy(Now);
   Message.FailureShare = Gate_.failureShare();
   Message.Http = Settings_.Peers;
-  Message.Rank = Balancers_.rankOf(Balancer);
+  Message.Rank = Balancers_.rankOf(Balancer, Now);
   return Message;
 }
 
@@ -254,7 +254,7 @@
   const auto *Ping = std::get_if<opaque::Ping>(&Message);
   if (!Ping || Ping->Name != Settings_.Name)
     return;
-  Balancers_.onPing(From, Now);
+  Balancers_.onPing(From, Ping->ReadsStore, Now);
   NewestEntry_ = std::max(NewestEntry_, Ping->NewestEntry);
   NewestManifest_ = std::max(NewestManifest_, Ping->Versions.ManifestVersion);
   if (Ping->MissingAsOf.isSet())
--- a/src/node/balancer.cpp
+++ b/src/node/balancer.cpp
@@ -272,6 +272,7 @@
       Services_.log(LogClass::State, "agent-suspected")
           .text("agent", Name)
           .age("silent_ms", opaque::Directory::silentFor(*Agent, Now));
+    Message.ReadsStore = !Health_.isLost(Now);
   }
   AgentsAlive_.set(static_cast<int64_t>(Alive));
   AgentsTotal_.set(static_cast<int64_t>(Agents_.agents().size()));
--- a/src/node/objectwatcher.cpp
+++ b/src/node/objectwatcher.cpp
@@ -37,6 +37,7 @@
   if (!Up_)
     return;
   Up_ = false;
+  DownSince_ = Services_.now();
   Services_.log(LogClass::State, "store-lost")
       .text("kind", name(Kind))
       .text("cause", Cause);
@@ -81,7 +82,6 @@
                    [this](const Answer &Result) { onListAnswer(Result); });
 }
 
-void ObjectWatcher::restart(platform::Consistency ListConsistency) {
 void ObjectWatcher::setConsistency(platform::Consistency Level) {
   if (Level == std::exchange(WatchConsistency_, Level) ||
       Level == platform::Consistency::Serializable || !Watch_.isWatching())
@@ -92,6 +92,7 @@
   poll(Services_.now());
 }
 
+void ObjectWatcher::restart(platform::Consistency ListConsistency) {
   ListConsistency_ = ListConsistency;
   Channel_.abandon();
   Watch_.restart();
--- a/src/node/objectwatcher.h
+++ b/src/node/objectwatcher.h
@@ -14,6 +14,10 @@
 /// of either.
 class StoreHealth {
 public:
+  /// A store that has not answered for this time is lost; a single failed call
+  /// says little.
+  static constexpr Duration LostAfter = 1s;
+
   explicit StoreHealth(Services &Shared) : Services_(Shared) {}
 
   void onAnswer(platform::ObjectKind Kind);
@@ -22,12 +26,16 @@
   bool onEra(platform::ObjectKind Kind, int64_t Era);
   void onFailure(platform::ObjectKind Kind, std::string_view Cause);
   bool up() const { return Up_; }
+  bool isLost(TimePoint Now) const {
+    return !Up_ && Now - DownSince_ >= LostAfter;
+  }
   int64_t era() const { return Era_; }
 
 private:
   Services &Services_;
   bool Up_ = true;
-  int64_t Era_ = 0; ///< The latest one that an answer has named.
+  TimePoint DownSince_{}; ///< Unless Up_: time of the first failed call.
+  int64_t Era_ = 0;       ///< The latest one that an answer has named.
 };
 
 /// Counts calls to the store by kind of object, call and consistency.
--- a/src/opaque/control.cpp
+++ b/src/opaque/control.cpp
@@ -43,7 +43,8 @@
           toJson(Message.Http),
           Message.NewestEntry.Number,
           Message.MissingAsOf.Era,
-          Message.NewestEntry.Era};
+          Message.NewestEntry.Era,
+          static_cast<int>(Message.ReadsStore)};
 }
 Json toJson(const Pong &Message) {
   return {Kind::Pong,
@@ -152,6 +153,8 @@
     Message.MissingAsOf.Era = Fields.number<int64_t>();
     Message.NewestEntry.Era = Fields.number<int64_t>();
   }
+  if (!Fields.atEnd())
+    Message.ReadsStore = Fields.number<uint8_t>() != 0;
   return Message;
 }
 
--- a/src/opaque/control.h
+++ b/src/opaque/control.h
@@ -65,6 +65,8 @@
   StoreRevision NewestEntry = {};
   /// The balancer's HTTP address for peers.
   Endpoint Http;
+  /// Whether the store answers the balancer.
+  bool ReadsStore = true;
 };
 
 /// Whether an agent takes new flows, and if not, why.
--- a/src/opaque/storereaders.cpp
+++ b/src/opaque/storereaders.cpp
@@ -2,6 +2,7 @@
 #include "opaque/storereaders.h"
 
 #include <algorithm>
+#include <utility>
 #include <xxhash.h>
 
 namespace dragonflystall::opaque {
@@ -15,29 +16,39 @@
 
 } // namespace
 
-void PingingBalancers::onPing(Endpoint Control, TimePoint Now) {
+void PingingBalancers::onPing(Endpoint Control, bool ReadsStore,
+                              TimePoint Now) {
   const auto Known = std::find(Controls_.begin(), Controls_.end(), Control);
-  if (Known != Controls_.end()) {
-    LastPings_[Known - Controls_.begin()] = Now;
-    return;
+  const size_t Index = Known - Controls_.begin();
+  if (Known == Controls_.end()) {
+    Controls_.push_back(Control);
+    Heard_.emplace_back();
   }
-  Controls_.push_back(Control);
-  LastPings_.push_back(Now);
+  Heard_[Index] = {Now, ReadsStore};
 }
 
 void PingingBalancers::expire(TimePoint Now) {
   for (size_t I = Controls_.size(); I-- > 0;) {
-    if (Now - LastPings_[I] <= Timeout)
+    if (Now - Heard_[I].LastPing <= Timeout)
       continue;
     Controls_.erase(Controls_.begin() + static_cast<ptrdiff_t>(I));
-    LastPings_.erase(LastPings_.begin() + static_cast<ptrdiff_t>(I));
+    Heard_.erase(Heard_.begin() + static_cast<ptrdiff_t>(I));
   }
 }
 
-uint32_t PingingBalancers::rankOf(Endpoint Control) const {
-  const uint64_t Own = hashOf(Control);
-  return std::count_if(Controls_.begin(), Controls_.end(),
-                       [Own](Endpoint C) { return hashOf(C) < Own; });
+uint32_t PingingBalancers::rankOf(Endpoint Control, TimePoint Now) const {
+  const auto OrderOf = [](const Heard &H, Endpoint C) {
+    return std::pair(!H.ReadsStore, hashOf(C));
+  };
+  const auto Known = std::find(Controls_.begin(), Controls_.end(), Control);
+  const size_t Index = Known - Controls_.begin();
+  const auto Own =
+      OrderOf(Known == Controls_.end() ? Heard{} : Heard_[Index], Control);
+  uint32_t Rank = 0;
+  for (size_t I = 0; I < Controls_.size(); ++I)
+    Rank += Now - Heard_[I].LastPing <= RankTimeout &&
+            OrderOf(Heard_[I], Controls_[I]) < Own;
+  return Rank;
 }
 
 void StoreReader::update(std::optional<uint32_t> Rank, TimePoint Now) {
--- a/src/opaque/storereaders.h
+++ b/src/opaque/storereaders.h
@@ -21,17 +21,26 @@
 public:
   /// A balancer that has sent no ping for this time is removed.
   static constexpr Duration Timeout = 3s;
+  /// A balancer that has sent no ping for this time comes before no other one,
+  /// so that a frozen primary reader is replaced.
+  static constexpr Duration RankTimeout = 1500ms;
 
-  /// Control is the address for control messages to the balancer.
-  void onPing(Endpoint Control, TimePoint Now);
+  /// Control is the address for control messages to the balancer. ReadsStore:
+  /// whether the store answers it.
+  void onPing(Endpoint Control, bool ReadsStore, TimePoint Now);
   void expire(TimePoint Now);
-  /// Number of balancers that come before this one, by hash.
-  uint32_t rankOf(Endpoint Control) const;
+  /// Number of balancers that come before this one: those that the store
+  /// answers come first, then by hash.
+  uint32_t rankOf(Endpoint Control, TimePoint Now) const;
   const std::vector<Endpoint> &controls() const { return Controls_; }
 
 private:
+  struct Heard {
+    TimePoint LastPing{};
+    bool ReadsStore = true;
+  };
   std::vector<Endpoint> Controls_;
-  std::vector<TimePoint> LastPings_; ///< In the order of Controls_.
+  std::vector<Heard> Heard_; ///< In the order of Controls_.
 };
 
 /// Whether this balancer is a primary reader.
--- a/src/opaque/storereaders_test.cpp
+++ b/src/opaque/storereaders_test.cpp
@@ -6,6 +6,7 @@
 
 #include <gtest/gtest.h>
 #include <limits>
+#include <map>
 
 namespace dragonflystall::opaque::test {
 namespace {
@@ -17,10 +18,10 @@
   TimePoint Now{100s};
   constexpr uint32_t Balancers = 60;
   for (uint32_t I = 0; I < Balancers; ++I)
-    Heard.onPing(balancer(I), Now);
+    Heard.onPing(balancer(I), true, Now);
   std::vector<uint32_t> Ranks;
   for (uint32_t I = 0; I < Balancers; ++I)
-    Ranks.push_back(Heard.rankOf(balancer(I)));
+    Ranks.push_back(Heard.rankOf(balancer(I), Now));
   std::sort(Ranks.begin(), Ranks.end());
   for (uint32_t I = 0; I < Balancers; ++I)
     EXPECT_EQ(Ranks[I], I);
@@ -31,18 +32,54 @@
   PingingBalancers Heard;
   TimePoint Now{100s};
   for (uint32_t I = 0; I < 10; ++I)
-    Heard.onPing(balancer(I), Now);
+    Heard.onPing(balancer(I), true, Now);
   Endpoint Second;
   for (uint32_t I = 0; I < 10; ++I)
-    if (Heard.rankOf(balancer(I)) == 1)
+    if (Heard.rankOf(balancer(I), Now) == 1)
       Second = balancer(I);
   Now += PingingBalancers::Timeout + 1ms;
-  Heard.onPing(Second, Now);
+  Heard.onPing(Second, true, Now);
   Heard.expire(Now);
-  EXPECT_EQ(Heard.rankOf(Second), 0U);
+  EXPECT_EQ(Heard.rankOf(Second, Now), 0U);
   EXPECT_EQ(Heard.controls(), std::vector<Endpoint>{Second});
 }
 
+// Guards against primary readers that can't read: the store turned all of them
+// away, and nobody else read linearizably.
+TEST(PingingBalancers, ThoseThatTheStoreAnswersComeFirst) {
+  PingingBalancers Heard;
+  TimePoint Now{100s};
+  constexpr uint32_t Balancers = 10;
+  std::map<uint32_t, uint32_t> ByRank;
+  for (uint32_t I = 0; I < Balancers; ++I)
+    Heard.onPing(balancer(I), true, Now);
+  for (uint32_t I = 0; I < Balancers; ++I)
+    ByRank[Heard.rankOf(balancer(I), Now)] = I;
+  for (uint32_t Rank = 0; Rank < StoreReader::PrimaryReaders; ++Rank)
+    Heard.onPing(balancer(ByRank[Rank]), false, Now);
+  EXPECT_EQ(Heard.rankOf(balancer(ByRank[3]), Now), 0U);
+  EXPECT_EQ(Heard.rankOf(balancer(ByRank[0]), Now), Balancers - 3);
+  // Without the store, all are in the order of before.
+  for (uint32_t I = 0; I < Balancers; ++I)
+    Heard.onPing(balancer(I), false, Now);
+  EXPECT_EQ(Heard.rankOf(balancer(ByRank[0]), Now), 0U);
+}
+
+// Guards against frozen primary readers that keep their place for seconds.
+TEST(PingingBalancers, AFrozenOneIsReplacedSoonerThanItIsForgotten) {
+  PingingBalancers Heard;
+  TimePoint Now{100s};
+  Heard.onPing(balancer(1), true, Now);
+  Heard.onPing(balancer(2), true, Now);
+  const bool FirstLeads = Heard.rankOf(balancer(1), Now) == 0;
+  const Endpoint Other = balancer(FirstLeads ? 2 : 1);
+  Now += PingingBalancers::RankTimeout + 1ms;
+  Heard.onPing(Other, true, Now);
+  Heard.expire(Now);
+  EXPECT_EQ(Heard.rankOf(Other, Now), 0U);
+  EXPECT_EQ(Heard.controls().size(), 2U);
+}
+
 TEST(StoreReader, TheFirstRanksAndIsolatedBalancersArePrimary) {
   TimePoint Now{100s};
   StoreReader Reader(Now);
@@ -86,6 +123,17 @@
   EXPECT_TRUE(Watch.next(Now)) << "a list is not delayed";
 }
 
+TEST(Control, APingSaysWhetherTheStoreAnswers) {
+  Ping Sent;
+  Sent.ReadsStore = false;
+  std::string Bytes = encode(Sent);
+  EXPECT_FALSE(std::get<Ping>(*decodeControl(Bytes)).ReadsStore);
+  // Balancers of earlier versions do not say it.
+  --Bytes.front();
+  Bytes.pop_back();
+  EXPECT_TRUE(std::get<Ping>(*decodeControl(Bytes)).ReadsStore);
+}
+
 TEST(Control, APongWithoutARankIsReadAndNonsenseIsRefused) {
   Pong Report;
   Report.Name = "a";
