Platform: an object of another writer costs nothing but itself

A number past a double, or bytes that aren't UTF-8, hid all entries of the page or watch instead.

Cause: an answer was parsed into one document. A parser that refuses one value refuses all, and each `spec` was then printed and copied, which takes stack for each level. The class: what one writer wrote is read together with, or as deep as, what others wrote.

Objects without a readable name or revision, and agents of a peer, are skipped, logged, and, for the store, counted (dragonflystall_store_objects_skipped_total).

--- a/src/node/configsource.cpp
+++ b/src/node/configsource.cpp
@@ -236,6 +236,10 @@
           Services_.log(LogClass::Notable, "peer-state-failed")
               .text("peer", toString(Peer))
               .number("answered", IsAnswered);
+        else if (State->Skipped > 0)
+          Services_.log(LogClass::Notable, "peer-agents-skipped")
+              .text("peer", toString(Peer))
+              .number("count", State->Skipped);
         OnState(State);
       });
 }
--- a/src/node/objectwatcher.cpp
+++ b/src/node/objectwatcher.cpp
@@ -116,6 +116,19 @@
   return false;
 }
 
+void ObjectWatcher::countSkipped(size_t Objects) {
+  if (Objects == 0)
+    return;
+  Services_.Counts
+      .counter({"dragonflystall_store_objects_skipped_total",
+                "Objects of the store without a readable name or revision.",
+                fmt::format("kind=\"{}\"", name(Kind_))})
+      .add(Objects);
+  Services_.log(LogClass::Notable, "store-objects-skipped")
+      .text("kind", name(Kind_))
+      .number("count", Objects);
+}
+
 void ObjectWatcher::onListAnswer(const Answer &Result) {
   if (!Result)
     return onFailure(Result.error().Text);
@@ -126,10 +139,11 @@
   const auto Page = platform::decodePage(Result->Body);
   if (!Page)
     return onFailure("malformed list in the store's answer");
-  Health_.onAnswer(Kind_);
-  const bool First = Watch_.isAtFirstPage();
   const std::string Last =
       Page->Objects.empty() ? std::string() : Page->Objects.back().Name;
+  Health_.onAnswer(Kind_);
+  countSkipped(Page->Skipped);
+  const bool First = Watch_.isAtFirstPage();
   Watch_.onPage({Health_.era(), Page->Revision},
                 Page->Truncated && !Last.empty(), Last);
   Callbacks_.OnPage(*Page, First);
@@ -161,6 +175,7 @@
   if (!Changes)
     return onFailure("malformed changes in the store's answer");
   Health_.onAnswer(Kind_);
+  countSkipped(Changes->Skipped);
   Watch_.onEvents({Health_.era(), Changes->Revision}, Services_.now());
   Callbacks_.OnChanges(*Changes);
 }
--- a/src/node/objectwatcher.h
+++ b/src/node/objectwatcher.h
@@ -96,6 +96,8 @@
   /// another call.
   bool isOfSameEra(const HttpResponse &Response);
   void onFailure(std::string_view Cause);
+  /// Counts and logs objects of an answer that could not be read.
+  void countSkipped(size_t Objects);
 
   Services &Services_;
   StoreHealth &Health_;
