--- a/src/opaque/upstream.cpp
+++ b/src/opaque/upstream.cpp
@@ -142,7 +142,8 @@
   const double PerSecond = It == Services.end() ? 0 : It->second.PerSecond;
   const double ColdRate =
       PerSecond * Settings_.ColdFactor + Settings_.ColdSlack;
-  return std::max<uint32_t>(1, std::floor(ColdRate));
+  return static_cast<uint32_t>(
+      std::clamp<double>(std::floor(ColdRate), 1, UINT16_MAX));
 }
 
 bool Upstream::admits(TimePoint Now) {
