Store: names are encoded in calls, and a list that does not advance ends

Cause: a page's last name was put into the next call as it was. An entry named "a b" made that call malformed, so that the list of all entries was never read; one named "a&..." asked for the same page again, at once and for ever.

Change: names are percent-encoded in paths and queries. A page that does not advance counts as a failure, with backoff.

OddStore.APageThatDoesNotAdvanceIsNotReadInALoop bounds the calls in a second by 6, which is what the backoff allows.

--- a/src/node/objectwatcher.cpp
+++ b/src/node/objectwatcher.cpp
@@ -141,6 +141,8 @@
     return onFailure("malformed list in the store's answer");
   const std::string Last =
       Page->Objects.empty() ? std::string() : Page->Objects.back().Name;
+  if (Page->Truncated && !Watch_.advances(Last))
+    return onFailure("a page of the store's list does not advance");
   Health_.onAnswer(Kind_);
   countSkipped(Page->Skipped);
   const bool First = Watch_.isAtFirstPage();
--- a/src/opaque/storewatch.h
+++ b/src/opaque/storewatch.h
@@ -79,6 +79,11 @@
     return Due;
   }
 
+  /// Whether a page that ends with this name continues the list. The same page
+  /// again would never end it.
+  bool advances(const std::string &LastName) const {
+    return LastName > ListAfter_;
+  }
   /// Whether what was read so far belongs to another era of the store than an
   /// answer does. If so, call restart() in place of onPage() or onEvents().
   bool isOfAnotherEra(int64_t Era) const {
@@ -87,6 +92,7 @@
     return FirstPage_.isSet() && FirstPage_.Era != Era;
   }
   /// A page of a list was read. Truncated: more names follow LastName.
+  /// Must not be called with a page that does not advance; see advances().
   void onPage(StoreRevision Revision, bool Truncated,
               const std::string &LastName) {
     CallInProgress_ = false;
--- a/src/shell/http.cpp
+++ b/src/shell/http.cpp
@@ -2,6 +2,7 @@
 #include "shell/http.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -81,6 +82,21 @@
   return It == Headers.end() ? std::string() : It->Value;
 }
 
+std::string encodeUri(const std::string &Text) {
+  const std::unique_ptr<char, decltype(&std::free)> Encoded(
+      evhttp_uriencode(Text.data(), static_cast<ev_ssize_t>(Text.size()),
+                       /*space_to_plus=*/0),
+      &std::free);
+  return Encoded.get();
+}
+
+std::string decodeUri(const std::string &Text) {
+  size_t Size = 0;
+  const std::unique_ptr<char, decltype(&std::free)> Decoded(
+      evhttp_uridecode(Text.c_str(), /*decode_plus=*/0, &Size), &std::free);
+  return {Decoded.get(), Size};
+}
+
 std::string pathOf(const std::string &Target) {
   return Target.substr(0, Target.find('?'));
 }
--- a/src/shell/http.h
+++ b/src/shell/http.h
@@ -118,6 +118,11 @@
 HttpRequest decodeRequest(evhttp_request *Request);
 void sendResponse(evhttp_request *Request, const HttpResponse &Response);
 
+/// A part of a path or query, with all characters but letters, digits and
+/// "-._~" as percent codes; and the reverse.
+std::string encodeUri(const std::string &Text);
+std::string decodeUri(const std::string &Text);
+
 /// A path without its query.
 std::string pathOf(const std::string &Target);
 
