Control messages: names are UTF-8, and a message has 2,048 bytes at most

Cause: strings of CBOR may have any bytes. A Hello whose name was no UTF-8 was kept among the agents, and the next peer that asked for the state ended the process: the JSON writer throws on such a string, and nothing catches that in an event.

Change: a message with such a name, or one of over 256 bytes, is malformed and counted as before. The length of a message, which bounds how deep it nests, has a named limit; so far only the socket's buffer bounded it.

--- a/src/opaque/control.cpp
+++ b/src/opaque/control.cpp
@@ -3,9 +3,10 @@
 // so that processes of earlier versions can read the rest.
 #include "opaque/control.h"
 
+#include "types/jsoninput.h"
+
 #include <algorithm>
 #include <cmath>
-#include <nlohmann/json.hpp>
 
 namespace dragonflystall::opaque {
 
@@ -82,7 +83,14 @@
 public:
   explicit Reader(const Json &Array) : Array_(Array) {}
 
-  std::string text() { return next().get_ref<const std::string &>(); }
+  /// Reads a name. CBOR strings may have any bytes, but names are written to
+  /// peers and to the store as JSON.
+  std::string name() {
+    const auto &Text = next().get_ref<const std::string &>();
+    if (Text.size() > MaxNameBytes || !isUtf8(Text))
+      throw Json::other_error::create(501, "not a name", nullptr);
+    return Text;
+  }
   const Json &next() { return Array_.at(Index_++); }
   /// Reads a non-negative integer within the range of T.
   template <typename T> T number() {
@@ -126,9 +134,9 @@
   AgentEntry entry() {
     Reader Fields(next());
     AgentEntry Entry;
-    Entry.Name = Fields.text();
-    Entry.Service = Fields.text();
-    Entry.Zone = Fields.text();
+    Entry.Name = Fields.name();
+    Entry.Service = Fields.name();
+    Entry.Zone = Fields.name();
     Entry.Packets = Fields.endpoint();
     Entry.Control = Fields.endpoint();
     return Entry;
@@ -141,7 +149,7 @@
 
 Ping readPing(Reader &Fields) {
   Ping Message;
-  Message.Name = Fields.text();
+  Message.Name = Fields.name();
   Message.Number = Fields.number<int64_t>();
   Message.Versions = Fields.versions();
   Message.MissingAsOf.Number = Fields.number<int64_t>();
@@ -160,8 +168,8 @@
 
 Pong readPong(Reader &Fields) {
   Pong Message;
-  Message.Name = Fields.text();
-  Message.Service = Fields.text();
+  Message.Name = Fields.name();
+  Message.Service = Fields.name();
   Message.Number = Fields.number<int64_t>();
   Message.Versions = Fields.versions();
   const auto State = Fields.number<uint8_t>();
@@ -189,7 +197,7 @@
 
 Located readLocated(Reader &Fields) {
   Located Message;
-  Message.Name = Fields.text();
+  Message.Name = Fields.name();
   Message.Flow = readFlow(Fields);
   const auto Verdict = Fields.number<uint8_t>();
   if (Verdict >= HoldingNames.size())
@@ -249,6 +257,9 @@
 }
 
 std::optional<ControlMessage> decodeControl(std::string_view Bytes) {
+  // Also bounds the depth, as each array takes a byte.
+  if (Bytes.size() > MaxControlBytes)
+    return std::nullopt;
   try {
     const Json Array =
         Json::from_cbor(Bytes.begin(), Bytes.end(), /*strict=*/true,
--- a/src/opaque/control.h
+++ b/src/opaque/control.h
@@ -146,6 +146,9 @@
 
 using ControlMessage = std::variant<Ping, Pong, Find, Located, Hello>;
 
+/// Limit on an encoded message; no datagram is longer.
+constexpr size_t MaxControlBytes = 2048;
+
 std::string encode(const ControlMessage &Message);
 /// Returns std::nullopt if the bytes are not a valid control message.
 std::optional<ControlMessage> decodeControl(std::string_view Bytes);
