Entries: an agent whose entry was overwritten puts it back, with backoff

Cause: an agent that found an odd object under its own name wrote its entry in its place at once and without backoff, ten times a second against a writer that puts its own back; and when the object could not be read at all it only read it again. Balancers kept the agent's earlier entry, so that nobody told the agent.

Change: a balancer that sees an unreadable object under an agent's name takes the agent for unlisted, and its pings tell the agent; the agent replaces the object by its revision, which is known for any object now, with backoff from 0.2 to 1.5 s. Unreadable entries are counted (dragonflystall_agent_entries_unreadable_total).

--- a/src/node/agent.cpp
+++ b/src/node/agent.cpp
@@ -343,7 +343,7 @@
   if (const auto Entry = platform::decodeAgent(*Object))
     Registration_.onStored(*Entry, {Era, Object->Revision});
   else
-    Registration_.onForeign({Era, Object->Revision});
+    Registration_.onForeign({Era, Object->Revision}, Now);
   Services_.log(LogClass::State, "entry-stored")
       .number("revision", Object->Revision)
       .number("era", Era)
--- a/src/node/balancer.cpp
+++ b/src/node/balancer.cpp
@@ -45,6 +45,9 @@
            [this] { onAgentsListed(); },
            [this](const platform::Changes &C) { onAgentChanges(C); }}),
       RemoveChannel_(Services_.Base.get(), Initial.Store),
+      EntriesUnreadable_(Services_.Counts.counter(
+          {"dragonflystall_agent_entries_unreadable_total",
+           "Objects among the agents' entries that are none.", ""})),
       AgentsAlive_(Services_.Counts.gauge(
           {"dragonflystall_agents_alive", "Agents that answer pings.", ""})),
       AgentsTotal_(Services_.Counts.gauge(
@@ -104,16 +107,22 @@
 std::optional<opaque::AgentEntry>
 Balancer::readEntry(const platform::Object &Listed) {
   auto Entry = platform::decodeAgent(Listed);
-  if (!Entry)
+  if (!Entry) {
+    EntriesUnreadable_.add();
     Services_.log(LogClass::Notable, "agent-entry-unreadable")
-        .text("name", Listed.Name);
+        .text("name", Listed.Name)
+        .number("bytes", Listed.Content.size());
+  }
   return Entry;
 }
 
 void Balancer::onAgentObject(const platform::Object &Listed) {
   const auto Entry = readEntry(Listed);
-  if (!Entry)
+  if (!Entry) {
+    // Nobody can read the agent's entry any more: the pings tell the agent.
+    Agents_.unlist(Listed.Name);
     return;
+  }
   if (!Agents_.find(Entry->Name))
     NextPing_ = {};
   Agents_.list(*Entry, {Health_.era(), Listed.Revision}, Services_.now());
--- a/src/node/balancer.h
+++ b/src/node/balancer.h
@@ -74,6 +74,7 @@
   TimePoint StopRequestedAt_{};
   TimePoint LastCallerPacket_{};
   std::array<Counter *, opaque::SteerReasonNames.size()> PacketsByReason_{};
+  Counter &EntriesUnreadable_;
   Gauge &AgentsAlive_;
   Gauge &AgentsTotal_;
   Gauge &CachedFlows_;
--- a/src/node/objectwatcher.cpp
+++ b/src/node/objectwatcher.cpp
@@ -146,8 +146,7 @@
   Health_.onAnswer(Kind_);
   countSkipped(Page->Skipped);
   const bool First = Watch_.isAtFirstPage();
-  Watch_.onPage({Health_.era(), Page->Revision},
-                Page->Truncated && !Last.empty(), Last);
+  Watch_.onPage({Health_.era(), Page->Revision}, Page->Truncated, Last);
   Callbacks_.OnPage(*Page, First);
   if (Watch_.listed()) {
     ListConsistency_ = platform::Consistency::Serializable;
--- a/src/opaque/registration.h
+++ b/src/opaque/registration.h
@@ -65,9 +65,11 @@
     Stored_ = Entry;
     Revision_ = Revision;
   }
-  /// The store has an object under the name that is not an agent entry.
-  void onForeign(StoreRevision Revision) {
+  /// The store has an object under the name that is not an agent entry. Its
+  /// writer may put it back again and again.
+  void onForeign(StoreRevision Revision, TimePoint Now) {
     CallInProgress_ = false;
+    Retry_.onFailure(Now);
     NeedsRead_ = false;
     NeedsCheck_ = false;
     Stored_.reset();
--- a/src/opaque/storewatch_test.cpp
+++ b/src/opaque/storewatch_test.cpp
@@ -151,5 +151,22 @@
   EXPECT_FALSE(Lag.takeOverdue(Now));
 }
 
+// Guards against writes in a tight loop while another writer keeps putting its
+// own object under the name of an entry.
+TEST(Registration, AForeignObjectIsReplacedWithBackoff) {
+  Registration Own(1);
+  TimePoint Now{100s};
+  Own.setWanted(AgentEntry{"a", "desk", "zone-a", {1, 1}, {1, 2}});
+  int Writes = 0;
+  for (const TimePoint End = Now + 10s; Now < End; Now += 10ms)
+    if (const auto Due = Own.next(Now)) {
+      ++Writes;
+      Own.onForeign({1, 5 + Writes}, Now);
+    }
+  // Each 0.75 to 1.5 s once the delay has grown.
+  EXPECT_LE(Writes, 16);
+  EXPECT_GE(Writes, 7);
+}
+
 } // namespace
 } // namespace dragonflystall::opaque::test
