Soak: outdated reads while all is calm, and another writer in the store

Change: after the random faults and a time of 12 s serializable reads are 5 s old for 17 s, while a route is dropped twice, the second time just after a restart of all balancers; nothing else is disturbed, so that all is judged. Throughout the faults another writer leaves odd objects among entries, manifests and evacuations, drawn by a generator of its own, so that the faults of a seed stay what they were.

--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -1,6 +1,8 @@
 // Implements the faults and schedules their ends.
 #include "soak/faults.h"
 
+#include "platform/oddentries.h"
+
 #include <csignal>
 
 namespace dragonflystall::soak {
@@ -17,6 +19,18 @@
 constexpr size_t MaxCopies = 8;
 /// The zone that Fault::Evacuate evacuates.
 const std::string EvacuatedZone = "zone-1";
+constexpr Duration OddEntryInterval = 1500ms;
+/// Serializable reads "may be seconds old".
+constexpr Duration ReadAge = 5s;
+/// From the last random fault until its end, and until all count as stable.
+constexpr Duration CalmAfter = 12s;
+/// Two drops of a route, the second one after a restart of all balancers.
+constexpr Duration FirstDrop = 1s;
+constexpr Duration BalancerRestarts = 7s;
+constexpr Duration BalancerDowntime = 300ms;
+constexpr Duration SecondDrop = 11s;
+constexpr Duration DropLength = 5s;
+constexpr Duration OutdatedReadsLength = 17s;
 
 } // namespace
 
@@ -34,6 +48,41 @@
   for (TimePoint At = From + RestoreInterval / 2; At < Until;
        At += RestoreInterval)
     Events_.emplace(At, [this] { inject(Fault::StoreRestored); });
+  for (TimePoint At = From; At < Until; At += OddEntryInterval)
+    Events_.emplace(At, [this] { writeOddEntry(); });
+  planOutdatedReads(Until + CalmAfter);
+}
+
+void Faults::planOutdatedReads(TimePoint From) {
+  Events_.emplace(From, [this] {
+    record(Fault::StaleReads, "store");
+    Fleet_.Store->setStaleReads(ReadAge);
+  });
+  for (const Duration Drop : {FirstDrop, SecondDrop})
+    Events_.emplace(From + Drop, [this] {
+      record(Fault::DropRoute, "print");
+      dropRoute(DropLength);
+    });
+  Events_.emplace(From + BalancerRestarts, [this] {
+    for (Node &Instance : Fleet_.Balancers)
+      restart(Instance, SIGTERM, BalancerDowntime);
+  });
+  Events_.emplace(From + OutdatedReadsLength,
+                  [this] { Fleet_.Store->setStaleReads({}); });
+}
+
+void Faults::writeOddEntry() {
+  using platform::ObjectKind;
+  constexpr std::array Kinds = {ObjectKind::Agent, ObjectKind::Manifest,
+                                ObjectKind::Evacuation};
+  const std::vector<platform::OddEntry> Entries = platform::oddEntries();
+  const platform::OddEntry &Odd = Entries[WriterRng_() % Entries.size()];
+  const ObjectKind Kind = Kinds[WriterRng_() % Kinds.size()];
+  const std::string Name = "odd " + Odd.Name;
+  record(Fault::OddEntry, Name);
+  Fleet_.Store->put(Kind, Name, Odd.Text);
+  schedule(randomDuration(1s, 6s, WriterRng_),
+           [this, Kind, Name] { Fleet_.Store->remove(Kind, Name); });
 }
 
 void Faults::tick(TimePoint Now) {
@@ -192,13 +241,13 @@
   });
 }
 
-void Faults::dropRoute() {
+void Faults::dropRoute(Duration Length) {
   const auto Node = Fleet_.Manifest.Routes.extract(PrintRoute);
   if (Node.empty())
     return;
   const opaque::Route Route = Node.mapped();
   Fleet_.publish();
-  schedule(randomDuration(2s, 6s), [this, Route] {
+  schedule(Length, [this, Route] {
     Fleet_.Manifest.Routes[PrintRoute] = Route;
     Fleet_.publish();
   });
@@ -250,7 +299,7 @@
     evacuate();
     return record(Kind, EvacuatedZone);
   case Fault::DropRoute:
-    dropRoute();
+    dropRoute(randomDuration(2s, 6s));
     return record(Kind, "print");
   case Fault::ChangeServices:
     changeServices();
--- a/soak/faults.h
+++ b/soak/faults.h
@@ -34,8 +34,10 @@
   BadPaths,
   ChangeServices,
   StoreRestored,
+  StaleReads,
+  OddEntry,
 };
-constexpr std::array<std::string_view, 23> FaultNames = {"kill-balancer",
+constexpr std::array<std::string_view, 25> FaultNames = {"kill-balancer",
                                                          "stop-balancer",
                                                          "pause-balancer",
                                                          "kill-agent",
@@ -57,7 +59,9 @@
                                                          "drop-route",
                                                          "bad-paths",
                                                          "change-services",
-                                                         "store-restored"};
+                                                         "store-restored",
+                                                         "stale-reads",
+                                                         "odd-entry"};
 constexpr std::string_view name(Fault Kind) {
   return FaultNames[static_cast<size_t>(Kind)];
 }
@@ -66,10 +70,11 @@
 public:
   Faults(node::Services &Shared, Fleet &Deployment, uint64_t Seed)
       : Shared_(Shared), Fleet_(Deployment), Rng_(Seed), ServiceRng_(~Seed),
-        RestoreRng_(Seed << 1) {}
+        RestoreRng_(Seed << 1), WriterRng_(~Seed << 1) {}
 
   /// Schedules random faults that begin between the two times, and beside them
-  /// changes of a route's services and restores of the store.
+  /// changes of a route's services, restores of the store and odd entries;
+  /// after them, planned changes while the store's reads are outdated.
   void plan(TimePoint From, TimePoint Until, Duration MeanInterval);
   /// Whether all faults have begun and ended.
   bool isFinished() const { return Events_.empty(); }
@@ -80,6 +85,11 @@
 private:
   using Action = std::function<void()>;
 
+  /// A time in which nothing is disturbed, but serializable reads are outdated
+  /// while routes change and balancers are restarted.
+  void planOutdatedReads(TimePoint From);
+  /// Another writer leaves an odd object for a while.
+  void writeOddEntry();
   void schedule(Duration Delay, Action Callback);
   void inject(Fault Kind);
   void restartLater(Node &Instance, Duration Delay);
@@ -98,7 +108,8 @@
   void reuse(Host &Target);
   void leaveWhenDrained(Host &Target, Action OnLeft);
   void evacuate();
-  void dropRoute();
+  /// Drops a route, and adds it again after the time.
+  void dropRoute(Duration Length);
   /// Changes the services of the desk's route and their weights.
   void changeServices();
   Node &randomBalancer() { return pick(Fleet_.Balancers); }
@@ -123,6 +134,7 @@
   /// they are.
   Random ServiceRng_;
   Random RestoreRng_;              ///< For restores alone, for the same reason.
+  Random WriterRng_;               ///< For odd entries alone.
   std::deque<Store::Copy> Copies_; ///< Of the last seconds, oldest first.
   bool IsEvacuated_ = false; ///< Whether operators have evacuated the zone.
   std::multimap<TimePoint, Action> Events_;
--- a/soak/store.cpp
+++ b/soak/store.cpp
@@ -131,7 +131,7 @@
 
 const Store::PastState &Store::visibleState(bool Serializable) const {
   const TimePoint Time =
-      Shared_.now() - (Serializable ? Faults_.StaleReads : Duration::zero());
+      Shared_.now() - (Serializable ? StaleReads_ : Duration::zero());
   const auto After =
       std::find_if(States_.begin() + 1, States_.end(),
                    [Time](const PastState &Past) { return Past.Since > Time; });
--- a/soak/store.h
+++ b/soak/store.h
@@ -20,9 +20,6 @@
   Duration Delay{};  ///< Of each answer but those to watches.
   /// Share of writes that are executed but whose answer is lost.
   double LostAnswers = 0;
-  /// Serializable reads show the state as it was this long ago, but none from
-  /// before a restore or a deletion of the history.
-  Duration StaleReads{};
 
   bool any() const {
     return Down || Delay > Duration::zero() || LostAnswers > 0;
@@ -42,6 +39,10 @@
            const std::string &Content);
   void remove(platform::ObjectKind Kind, const std::string &Name);
   void setFaults(const StoreFaults &Faults);
+  /// From now on serializable reads show the state as it was this long ago, but
+  /// none from before a restore or a deletion of the history. This is no fault:
+  /// the users' store may do so at any time.
+  void setStaleReads(Duration Age) { StaleReads_ = Age; }
   /// What a copy of the store holds.
   struct Copy;
   Copy copy() const;
@@ -102,6 +103,7 @@
   std::deque<PastState> States_;
   std::list<PendingCall> PendingCalls_;
   StoreFaults Faults_;
+  Duration StaleReads_{};
 };
 
 struct Store::Copy {
--- a/src/node/catchup_test.cpp
+++ b/src/node/catchup_test.cpp
@@ -82,7 +82,7 @@
     ConfigFixture::SetUp();
     put(1);
     ASSERT_TRUE(followsVersion(1));
-    Store.setFaults({.StaleReads = 5s});
+    Store.setStaleReads(5s);
   }
 };
 
