Configuration: who catches up fetches the configuration only

Cause: each fetch of a process that was behind brought the list of all agents along, some 150 bytes each (20 MB at 130,000), which nobody needs for it, and its answer counted for that of a seed, so that a balancer that had just started could stop asking seeds too early.

Change: `GET /state?agents=0` leaves them out. Processes of earlier versions answer it with all, and get all when they ask.

Evidence: CatchUpFromPeers.OnlyTheConfigurationIsFetched.

--- a/src/node/catchup_test.cpp
+++ b/src/node/catchup_test.cpp
@@ -75,6 +75,24 @@
   EXPECT_EQ(config().manifest().Version, 2);
 }
 
+// Each fetch of a process that was behind brought the list of all agents along,
+// and its answer counted for one of a seed.
+TEST_F(CatchUpFromPeers, OnlyTheConfigurationIsFetched) {
+  std::vector<std::string> Targets;
+  HttpServer Peer(Shared.Base.get(), [&](const HttpRequest &Request) {
+    Targets.push_back(Request.Target);
+    return serving(AheadState)(Request);
+  });
+  ASSERT_TRUE(Peer.listen(OtherAddress));
+  report(2, OtherAddress);
+  ASSERT_TRUE(followsVersion(2));
+  ASSERT_EQ(Targets.size(), 1U);
+  EXPECT_EQ(platform::partsOf({HttpMethod::Get, Targets[0], {}}),
+            platform::PeerStateParts::Configuration);
+  EXPECT_EQ(platform::partsOf({HttpMethod::Get, "/state", {}}),
+            platform::PeerStateParts::All);
+}
+
 /// A process that learns from the store alone, whose serializable reads are
 /// seconds old.
 struct OutdatedReads : ConfigFixture {
--- a/src/node/configsource.cpp
+++ b/src/node/configsource.cpp
@@ -99,7 +99,7 @@
 bool ConfigSource::maySeedsKnowMore(TimePoint Now) const {
   // A seed may have just started, too, and know nothing: ask each of them.
   const bool IsInformed = AgentsKnown_ && Config_.history().isComplete(Now);
-  return !IsInformed && PeerAnswers_ < Sources_.Seeds.size();
+  return !IsInformed && SeedAnswers_ < Sources_.Seeds.size();
 }
 
 void ConfigSource::onManifests(const std::vector<platform::Object> &Objects,
@@ -197,7 +197,7 @@
   const auto Free = std::find_if(
       CatchUpChannels_.begin(), CatchUpChannels_.end(),
       [](const auto &Channel) { return !Channel || !Channel->busy(); });
-  fetch(*Free, *Peer,
+  fetch(*Free, *Peer, platform::PeerStateParts::Configuration,
         [this, Peer = *Peer](const std::optional<platform::PeerState> &State) {
           if (!State)
             return CatchUp_.onFailure(Peer, Services_.now());
@@ -215,18 +215,18 @@
   if (SeedChannel_ && SeedChannel_->busy())
     return;
   const Endpoint Seed = Sources_.Seeds[NextSeed_++ % Sources_.Seeds.size()];
-  fetch(SeedChannel_, Seed,
+  fetch(SeedChannel_, Seed, platform::PeerStateParts::All,
         [this, Seed](const std::optional<platform::PeerState> &State) {
           if (State)
-            onPeerState(*State, Seed);
+            onSeedState(*State, Seed);
         });
 }
 
 void ConfigSource::fetch(std::unique_ptr<HttpChannel> &Channel, Endpoint Peer,
-                         StateHandler OnState) {
+                         platform::PeerStateParts Parts, StateHandler OnState) {
   Channel = std::make_unique<HttpChannel>(Services_.Base.get(), Peer);
   Channel->request(
-      {HttpMethod::Get, "/state", {}}, FetchTimeout,
+      platform::peerStateCall(Parts), FetchTimeout,
       [this, Peer, OnState = std::move(OnState)](
           const tl::expected<HttpResponse, HttpFailure> &Result) {
         const bool IsAnswered = Result && Result->Status == HttpStatus::Ok;
@@ -244,15 +244,20 @@
       });
 }
 
+void ConfigSource::onSeedState(const platform::PeerState &State,
+                               Endpoint Seed) {
+  ++SeedAnswers_;
+  AgentsKnown_ = AgentsKnown_ || State.Agents.IsComplete;
+  onPeerState(State, Seed);
+  if (Callbacks_.OnAgents)
+    Callbacks_.OnAgents(State.Agents);
+}
+
 void ConfigSource::onPeerState(const platform::PeerState &State,
                                Endpoint Peer) {
-  ++PeerAnswers_;
-  AgentsKnown_ = AgentsKnown_ || State.Agents.IsComplete;
   offerManifestOfPeer(State, Peer);
   if (State.Evacuations.Revision.isSet())
     offerEvacuations(State.Evacuations, "peer");
-  if (Callbacks_.OnAgents)
-    Callbacks_.OnAgents(State.Agents);
 }
 
 void ConfigSource::noteWatchLag(const opaque::ConfigVersions &Before) {
--- a/src/node/configsource.h
+++ b/src/node/configsource.h
@@ -79,7 +79,8 @@
   /// Requests a peer's state over the channel, which it replaces. Calls OnState
   /// with the state, or with std::nullopt if there is none that can be read.
   void fetch(std::unique_ptr<HttpChannel> &Channel, Endpoint Peer,
-             StateHandler OnState);
+             platform::PeerStateParts Parts, StateHandler OnState);
+  void onSeedState(const platform::PeerState &State, Endpoint Seed);
   void onPeerState(const platform::PeerState &State, Endpoint Peer);
   /// Notes what the watches have yet to deliver. Before: the versions before
   /// the state of a peer that is ahead was taken.
@@ -116,8 +117,8 @@
   std::unique_ptr<HttpChannel> SeedChannel_;
   TimePoint NextSeedFetch_{};
   size_t NextSeed_ = 0;
-  size_t PeerAnswers_ = 0;
-  /// A peer that knows all agents has answered.
+  size_t SeedAnswers_ = 0;
+  /// A seed that knows all agents has answered.
   bool AgentsKnown_ = false;
   opaque::CatchUp CatchUp_;
   std::array<std::unique_ptr<HttpChannel>, opaque::CatchUp::MaxFetches>
--- a/src/node/process.cpp
+++ b/src/node/process.cpp
@@ -162,18 +162,25 @@
   return emptyJsonResponse(HttpStatus::NotFound);
 }
 
+std::string Process::stateForPeer(platform::PeerStateParts Parts) const {
+  const TimePoint Now = Services_.now();
+  platform::PeerState State;
+  State.ManifestContent = Config_.manifestContent();
+  State.Evacuations = config().evacuations().state(Now);
+  State.History = config().history().state(Now);
+  if (Parts == platform::PeerStateParts::All)
+    State.Agents = agentsForPeers();
+  return platform::encodePeerState(State);
+}
+
 HttpResponse Process::answer(const HttpRequest &Request) {
   const std::string Path = pathOf(Request.Target);
   if (Path == "/ready")
     return emptyJsonResponse(ready() && !Stopping_ ? HttpStatus::Ok
                                                    : HttpStatus::Unavailable);
-  if (Path == "/state")
-    return jsonResponse(
-        HttpStatus::Ok,
-        platform::encodePeerState(
-            {Config_.manifestContent(),
-             config().evacuations().state(Services_.now()), agentsForPeers(),
-             config().history().state(Services_.now())}));
+  if (Path == platform::PeerStatePath)
+    return jsonResponse(HttpStatus::Ok,
+                        stateForPeer(platform::partsOf(Request)));
   if (Path == "/metrics") {
     ManifestVersion_.set(config().manifest().Version);
     StoreUp_.set(Health_.up());
