Store: the primary readers are in different availability zones

What callers could see: with serializable reads seconds old, a change was known to nobody in time when a zone was lost that held all three primary readers.

Cause: balancers were ranked by a hash of their address alone, although three were meant to be enough for the loss of a host and a zone: where three zones have equally many balancers, about one fleet in nine has all three in one. Change: pings carry a hash of the zone, and ranks go round the zones. Balancers of earlier versions count as of one zone.

The simulated fleets start their ended processes again, with an old list, and these must have the change within the bound too; the soak evacuates a zone while reads are old.

--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -63,6 +63,7 @@
       record(Fault::DropRoute, "print");
       dropRoute(DropLength);
     });
+  Events_.emplace(From + FirstDrop, [this] { inject(Fault::Evacuate); });
   Events_.emplace(From + BalancerRestarts, [this] {
     for (Node &Instance : Fleet_.Balancers)
       restart(Instance, SIGTERM, BalancerDowntime);
--- a/src/node/agent.cpp
+++ b/src/node/agent.cpp
@@ -254,7 +254,7 @@
   const auto *Ping = std::get_if<opaque::Ping>(&Message);
   if (!Ping || Ping->Name != Settings_.Name)
     return;
-  Balancers_.onPing(From, Ping->ReadsStore, Now);
+  Balancers_.onPing(From, Ping->Sender, Now);
   NewestEntry_ = std::max(NewestEntry_, Ping->NewestEntry);
   NewestManifest_ = std::max(NewestManifest_, Ping->Versions.ManifestVersion);
   if (Ping->MissingAsOf.isSet())
--- a/src/node/balancer.cpp
+++ b/src/node/balancer.cpp
@@ -281,7 +281,8 @@
       Message.MissingAsOf = AgentWatcher_.revision();
     Message.Http = Settings_.Peers;
     Message.NewestEntry = Agents_.newestEntry();
-    Message.ReadsStore = !Health_.isLost(Now);
+    Message.Sender = {static_cast<uint32_t>(agentId(Settings_.Zone)),
+                      !Health_.isLost(Now)};
     const bool WasSuspect = Agents_.isSuspect(*Agent, Now - PingInterval);
     Agents_.onPingSent(*Agent, Now);
     sendControl(Agent->Entry.Control, Message);
--- a/src/opaque/catchupfleet_test.cpp
+++ b/src/opaque/catchupfleet_test.cpp
@@ -26,7 +26,7 @@
 enum class Trouble : uint8_t {
   None,
   Frozen,     ///< Does nothing; connections to it are accepted.
-  Restarting, ///< Has ended, starts again in the middle of the run.
+  Restarting, ///< Has ended, and starts again later.
   Refused,    ///< The store answers none of its calls.
 };
 
@@ -95,12 +95,26 @@
   /// time that this took.
   Duration change() {
     ChangedAt = Now;
-    while (Now - ChangedAt < 2 * ApplyBound) {
-      if (isEverywhere())
-        break;
+    return untilEverywhere();
+  }
+  Duration untilEverywhere() {
+    const TimePoint Begin = Now;
+    while (Now - Begin < 2 * ApplyBound && !isEverywhere())
       step();
-    }
-    return Now - ChangedAt;
+    return Now - Begin;
+  }
+  /// Those that have ended start again, with an old list of the store.
+  void startAgain() {
+    for (auto *Kind : {&Balancers, &Agents})
+      for (Process &P : *Kind)
+        if (P.State == Trouble::Restarting) {
+          P.State = Trouble::None;
+          P.Version = 1;
+          P.IsPrimary = false;
+          P.Peers = {};
+          P.Heard = {};
+          P.NextPing = Now;
+        }
   }
   bool isEverywhere() const {
     const auto HasIt = [](const Process &P) {
@@ -152,7 +166,7 @@
       });
   }
   void onPing(Process &To, Process &From, const ConfigVersions &Sent) {
-    To.Heard.onPing(From.Http, From.State != Trouble::Refused, Now);
+    To.Heard.onPing(From.Http, {0, From.State != Trouble::Refused}, Now);
     To.Peers.onReport(From.Http, Sent, To.versions(), Now);
     const uint32_t Rank = To.Heard.rankOf(From.Http, Now);
     datagram([this, &To, &From, Rank, Answer = To.versions()] {
@@ -226,6 +240,9 @@
         EXPECT_LE(F.change(), ApplyBound)
             << S.Balancers << "+" << S.Agents << " seed " << Seed << " trouble "
             << static_cast<int>(State);
+        F.startAgain();
+        EXPECT_LE(F.untilEverywhere(), ApplyBound)
+            << S.Balancers << "+" << S.Agents << " seed " << Seed;
       }
 }
 
--- a/src/opaque/control.cpp
+++ b/src/opaque/control.cpp
@@ -45,7 +45,8 @@
           Message.NewestEntry.Number,
           Message.MissingAsOf.Era,
           Message.NewestEntry.Era,
-          static_cast<int>(Message.ReadsStore)};
+          static_cast<int>(Message.Sender.ReadsStore),
+          Message.Sender.Zone};
 }
 Json toJson(const Pong &Message) {
   return {Kind::Pong,
@@ -161,8 +162,10 @@
     Message.MissingAsOf.Era = Fields.number<int64_t>();
     Message.NewestEntry.Era = Fields.number<int64_t>();
   }
-  if (!Fields.atEnd())
-    Message.ReadsStore = Fields.number<uint8_t>() != 0;
+  if (!Fields.atEnd()) {
+    Message.Sender.ReadsStore = Fields.number<uint8_t>() != 0;
+    Message.Sender.Zone = Fields.number<uint32_t>();
+  }
   return Message;
 }
 
--- a/src/opaque/control.h
+++ b/src/opaque/control.h
@@ -6,6 +6,7 @@
 
 #include "opaque/manifest.h"
 #include "opaque/packet.h"
+#include "opaque/storereaders.h"
 
 #include <optional>
 #include <string>
@@ -65,8 +66,8 @@
   StoreRevision NewestEntry = {};
   /// The balancer's HTTP address for peers.
   Endpoint Http;
-  /// Whether the store answers the balancer.
-  bool ReadsStore = true;
+  /// What the agents rank the balancer by.
+  PingingBalancer Sender = {};
 };
 
 /// Whether an agent takes new flows, and if not, why.
--- a/src/opaque/storereaders.cpp
+++ b/src/opaque/storereaders.cpp
@@ -1,7 +1,9 @@
-// Ranks of balancers by the hash of their address.
+// Ranks of balancers.
 #include "opaque/storereaders.h"
 
 #include <algorithm>
+#include <map>
+#include <tuple>
 #include <utility>
 #include <xxhash.h>
 
@@ -16,15 +18,19 @@
 
 } // namespace
 
-void PingingBalancers::onPing(Endpoint Control, bool ReadsStore,
+void PingingBalancers::onPing(Endpoint Control, PingingBalancer Balancer,
                               TimePoint Now) {
   const auto Known = std::find(Controls_.begin(), Controls_.end(), Control);
   const size_t Index = Known - Controls_.begin();
   if (Known == Controls_.end()) {
     Controls_.push_back(Control);
-    Heard_.emplace_back();
+    Heard_.push_back({Balancer, hashOf(Control), {}, 0});
+    RankedAt_ = {};
   }
-  Heard_[Index] = {Now, ReadsStore};
+  if (Balancer != Heard_[Index].Balancer)
+    RankedAt_ = {};
+  Heard_[Index].Balancer = Balancer;
+  Heard_[Index].LastPing = Now;
 }
 
 void PingingBalancers::expire(TimePoint Now) {
@@ -36,19 +42,37 @@
   }
 }
 
-uint32_t PingingBalancers::rankOf(Endpoint Control, TimePoint Now) const {
-  const auto OrderOf = [](const Heard &H, Endpoint C) {
-    return std::pair(!H.ReadsStore, hashOf(C));
-  };
+void PingingBalancers::updateRanks(TimePoint Now) {
+  RankedAt_ = Now;
+  std::vector<Heard *> Present;
+  for (Heard &H : Heard_) {
+    H.Rank = Heard_.size();
+    if (Now - H.LastPing <= RankTimeout)
+      Present.push_back(&H);
+  }
+  std::sort(Present.begin(), Present.end(),
+            [](const Heard *A, const Heard *B) { return A->Hash < B->Hash; });
+  // Place within its zone, apart for those that the store does not answer.
+  using Order = std::tuple<bool, uint32_t, uint64_t>;
+  std::map<std::pair<bool, uint32_t>, uint32_t> InZone;
+  std::vector<std::pair<Order, Heard *>> Ordered;
+  for (Heard *H : Present) {
+    const bool IsCut = !H->Balancer.ReadsStore;
+    const uint32_t Place = InZone[{IsCut, H->Balancer.Zone}]++;
+    Ordered.push_back({{IsCut, Place, H->Hash}, H});
+  }
+  std::sort(Ordered.begin(), Ordered.end());
+  for (size_t I = 0; I < Ordered.size(); ++I)
+    Ordered[I].second->Rank = I;
+}
+
+uint32_t PingingBalancers::rankOf(Endpoint Control, TimePoint Now) {
   const auto Known = std::find(Controls_.begin(), Controls_.end(), Control);
-  const size_t Index = Known - Controls_.begin();
-  const auto Own =
-      OrderOf(Known == Controls_.end() ? Heard{} : Heard_[Index], Control);
-  uint32_t Rank = 0;
-  for (size_t I = 0; I < Controls_.size(); ++I)
-    Rank += Now - Heard_[I].LastPing <= RankTimeout &&
-            OrderOf(Heard_[I], Controls_[I]) < Own;
-  return Rank;
+  if (Known == Controls_.end())
+    return Controls_.size();
+  if (Now - RankedAt_ >= RankInterval)
+    updateRanks(Now);
+  return Heard_[Known - Controls_.begin()].Rank;
 }
 
 void StoreReader::update(std::optional<uint32_t> Rank, TimePoint Now) {
--- a/src/opaque/storereaders_test.cpp
+++ b/src/opaque/storereaders_test.cpp
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 #include <limits>
 #include <map>
+#include <set>
 
 namespace dragonflystall::opaque::test {
 namespace {
@@ -18,7 +19,7 @@
   TimePoint Now{100s};
   constexpr uint32_t Balancers = 60;
   for (uint32_t I = 0; I < Balancers; ++I)
-    Heard.onPing(balancer(I), true, Now);
+    Heard.onPing(balancer(I), {}, Now);
   std::vector<uint32_t> Ranks;
   for (uint32_t I = 0; I < Balancers; ++I)
     Ranks.push_back(Heard.rankOf(balancer(I), Now));
@@ -32,13 +33,13 @@
   PingingBalancers Heard;
   TimePoint Now{100s};
   for (uint32_t I = 0; I < 10; ++I)
-    Heard.onPing(balancer(I), true, Now);
+    Heard.onPing(balancer(I), {}, Now);
   Endpoint Second;
   for (uint32_t I = 0; I < 10; ++I)
     if (Heard.rankOf(balancer(I), Now) == 1)
       Second = balancer(I);
   Now += PingingBalancers::Timeout + 1ms;
-  Heard.onPing(Second, true, Now);
+  Heard.onPing(Second, {}, Now);
   Heard.expire(Now);
   EXPECT_EQ(Heard.rankOf(Second, Now), 0U);
   EXPECT_EQ(Heard.controls(), std::vector<Endpoint>{Second});
@@ -52,29 +53,46 @@
   constexpr uint32_t Balancers = 10;
   std::map<uint32_t, uint32_t> ByRank;
   for (uint32_t I = 0; I < Balancers; ++I)
-    Heard.onPing(balancer(I), true, Now);
+    Heard.onPing(balancer(I), {}, Now);
   for (uint32_t I = 0; I < Balancers; ++I)
     ByRank[Heard.rankOf(balancer(I), Now)] = I;
   for (uint32_t Rank = 0; Rank < StoreReader::PrimaryReaders; ++Rank)
-    Heard.onPing(balancer(ByRank[Rank]), false, Now);
+    Heard.onPing(balancer(ByRank[Rank]), {0, false}, Now);
   EXPECT_EQ(Heard.rankOf(balancer(ByRank[3]), Now), 0U);
   EXPECT_EQ(Heard.rankOf(balancer(ByRank[0]), Now), Balancers - 3);
   // Without the store, all are in the order of before.
   for (uint32_t I = 0; I < Balancers; ++I)
-    Heard.onPing(balancer(I), false, Now);
+    Heard.onPing(balancer(I), {0, false}, Now);
   EXPECT_EQ(Heard.rankOf(balancer(ByRank[0]), Now), 0U);
 }
 
+// Guards against a zone that takes all primary readers with it when it is lost,
+// whatever the hashes of their addresses.
+TEST(PingingBalancers, TheFirstOnesAreInDifferentZones) {
+  constexpr uint32_t Zones = 3;
+  for (uint32_t First = 0; First < 300; First += 20) {
+    PingingBalancers Heard;
+    TimePoint Now{100s};
+    for (uint32_t I = 0; I < 20; ++I)
+      Heard.onPing(balancer(First + I), {1 + I % Zones, true}, Now);
+    std::set<uint32_t> ZonesOfReaders;
+    for (uint32_t I = 0; I < 20; ++I)
+      if (Heard.rankOf(balancer(First + I), Now) < StoreReader::PrimaryReaders)
+        ZonesOfReaders.insert(I % Zones);
+    EXPECT_EQ(ZonesOfReaders.size(), StoreReader::PrimaryReaders) << First;
+  }
+}
+
 // Guards against frozen primary readers that keep their place for seconds.
 TEST(PingingBalancers, AFrozenOneIsReplacedSoonerThanItIsForgotten) {
   PingingBalancers Heard;
   TimePoint Now{100s};
-  Heard.onPing(balancer(1), true, Now);
-  Heard.onPing(balancer(2), true, Now);
+  Heard.onPing(balancer(1), {}, Now);
+  Heard.onPing(balancer(2), {}, Now);
   const bool FirstLeads = Heard.rankOf(balancer(1), Now) == 0;
   const Endpoint Other = balancer(FirstLeads ? 2 : 1);
   Now += PingingBalancers::RankTimeout + 1ms;
-  Heard.onPing(Other, true, Now);
+  Heard.onPing(Other, {}, Now);
   Heard.expire(Now);
   EXPECT_EQ(Heard.rankOf(Other, Now), 0U);
   EXPECT_EQ(Heard.controls().size(), 2U);
@@ -123,15 +141,16 @@
   EXPECT_TRUE(Watch.next(Now)) << "a list is not delayed";
 }
 
-TEST(Control, APingSaysWhetherTheStoreAnswers) {
+TEST(Control, APingSaysWhatTheBalancerIsRankedBy) {
   Ping Sent;
-  Sent.ReadsStore = false;
+  Sent.Sender = {7, false};
   std::string Bytes = encode(Sent);
-  EXPECT_FALSE(std::get<Ping>(*decodeControl(Bytes)).ReadsStore);
-  // Balancers of earlier versions do not say it.
-  --Bytes.front();
-  Bytes.pop_back();
-  EXPECT_TRUE(std::get<Ping>(*decodeControl(Bytes)).ReadsStore);
+  EXPECT_EQ(std::get<Ping>(*decodeControl(Bytes)).Sender, Sent.Sender);
+  // Balancers of earlier versions do not say it. The array's length is in the
+  // low bits of its first byte; the two fields, a byte each, are last.
+  Bytes.front() -= 2;
+  Bytes.resize(Bytes.size() - 2);
+  EXPECT_EQ(std::get<Ping>(*decodeControl(Bytes)).Sender, PingingBalancer{});
 }
 
 TEST(Control, APongWithoutARankIsReadAndNonsenseIsRefused) {
