HTTP: a response has 32 MB at most, and a watch that exceeds it lists again

Cause: the size of what the store or a peer answers had no limit. A watch answers with all events since its revision, whole objects of up to 1 MB each, so that another writer could fill a process's memory (260 MB on the users' machines) with some hundred writes. Found while adding up what is taken.

Change: a longer response is a failure, as the client library offers it. A watch that exceeds it would exceed it again: a list follows, which comes in pages.

Evidence: OddStore.AWatchWithTooLongAnAnswerIsReplacedByAList.

--- a/src/node/objectwatcher.cpp
+++ b/src/node/objectwatcher.cpp
@@ -157,8 +157,13 @@
 }
 
 void ObjectWatcher::onWatchAnswer(const Answer &Result) {
-  if (!Result)
-    return onFailure(Result.error().Text);
+  if (!Result) {
+    onFailure(Result.error().Text);
+    // The watch would fail again; a list comes in pages.
+    if (Result.error().IsTooLong)
+      Watch_.restart();
+    return;
+  }
   if (!isOfSameEra(*Result))
     return;
   if (Result->Status == HttpStatus::Gone) {
--- a/src/node/objectwatcher_test.cpp
+++ b/src/node/objectwatcher_test.cpp
@@ -25,7 +25,13 @@
                           {[](const platform::Page &, bool) {},
                            {},
                            [](const platform::Changes &) {}});
-    for (const TimePoint End = Shared.now() + Length; Shared.now() < End;) {
+    runUntil(Watcher, Length, [] { return false; });
+  }
+  /// Runs until the condition is true, for no longer than the time.
+  template <typename Condition>
+  void runUntil(ObjectWatcher &Watcher, Duration Most, Condition IsTrue) {
+    const TimePoint End = Shared.now() + Most;
+    while (!IsTrue() && Shared.now() < End) {
       Watcher.poll(Shared.now());
       constexpr timeval PollInterval = {0, 5000};
       event_base_loopexit(Shared.Base.get(), &PollInterval);
@@ -58,5 +64,29 @@
       std::string::npos);
 }
 
+// Guards against a watch whose answer, with large objects of another writer, is
+// asked for and dropped again and again.
+TEST_F(OddStore, AWatchWithTooLongAnAnswerIsReplacedByAList) {
+  const std::string Filler(MaxResponseBytes, ' ');
+  int Lists = 0;
+  HttpServer Store(Shared.Base.get(), [&](const HttpRequest &Request) {
+    const bool IsWatch = Request.Target.find("watch=") != std::string::npos;
+    Lists += !IsWatch;
+    const std::string Text =
+        IsWatch ? R"({"events":[],"currentRev":9})" + Filler
+                : R"({"items":[],"truncated":false,"currentRev":9})";
+    return jsonResponse(HttpStatus::Ok, Text);
+  });
+  ASSERT_TRUE(Store.listen(Address));
+  ObjectWatcher Watcher(Shared, Health,
+                        {Address, 20s, platform::Consistency::Serializable},
+                        ObjectKind::Agent,
+                        {[](const platform::Page &, bool) {},
+                         {},
+                         [](const platform::Changes &) {}});
+  runUntil(Watcher, 3s, [&] { return Lists >= 2; });
+  EXPECT_EQ(Lists, 2);
+}
+
 } // namespace
 } // namespace dragonflystall::node::test
--- a/src/shell/http.cpp
+++ b/src/shell/http.cpp
@@ -106,13 +106,15 @@
   Endpoint Server;
   evhttp_connection *Connection = nullptr;
   bool Broken = false;
-  Done OnDone; ///< Set while a request is in progress.
+  Done OnDone;            ///< Set while a request is in progress.
+  bool IsTooLong = false; ///< The response to it is.
 
   void open();
   void close();
   /// Whether the server has sent more than the answers to our requests.
   bool hasSurplus() const;
   static void onDone(evhttp_request *Request, void *Self);
+  static void onError(evhttp_request_error Cause, void *Self);
 };
 
 void HttpChannel::State::open() {
@@ -121,6 +123,7 @@
   close();
   Connection = evhttp_connection_base_new(
       Base, nullptr, ipText(Server.Ip).c_str(), Server.Port);
+  evhttp_connection_set_max_body_size(Connection, MaxResponseBytes);
   Broken = false;
 }
 
@@ -143,7 +146,10 @@
   const int Status = Request ? evhttp_request_get_response_code(Request) : 0;
   if (Status == 0) {
     S.Broken = true;
-    OnDone(tl::unexpected(HttpFailure{Request ? "no response" : "timed out"}));
+    const char *Cause = S.IsTooLong ? "response too long"
+                        : Request   ? "no response"
+                                    : "timed out";
+    OnDone(tl::unexpected(HttpFailure{Cause, S.IsTooLong}));
     return;
   }
   HttpResponse Response;
@@ -153,6 +159,10 @@
   OnDone(std::move(Response));
 }
 
+void HttpChannel::State::onError(evhttp_request_error Cause, void *Self) {
+  static_cast<State *>(Self)->IsTooLong = Cause == EVREQ_HTTP_DATA_TOO_LONG;
+}
+
 HttpChannel::HttpChannel(event_base *Base, Endpoint Server)
     : State_(std::make_unique<State>()) {
   State_->Base = Base;
@@ -174,9 +184,11 @@
                           Done OnDone) {
   State_->open();
   State_->OnDone = std::move(OnDone);
+  State_->IsTooLong = false;
   const timeval Limit = toTimeval(Timeout);
   evhttp_connection_set_timeout_tv(State_->Connection, &Limit);
   evhttp_request *R = evhttp_request_new(&State::onDone, State_.get());
+  evhttp_request_set_error_cb(R, &State::onError);
   evkeyvalq *Headers = evhttp_request_get_output_headers(R);
   evhttp_add_header(Headers, "Host", toString(State_->Server).c_str());
   if (!Request.Body.empty()) {
--- a/src/shell/http.h
+++ b/src/shell/http.h
@@ -70,8 +70,14 @@
 /// No response was received; the request may or may not have been executed.
 struct HttpFailure {
   std::string Text;
+  /// The response was longer than MaxResponseBytes; it will be again.
+  bool IsTooLong = false;
 };
 
+/// Limit on the body of a response: a peer's state with 130,000 agents has some
+/// 20 MB, a page of the store about 1 MB.
+constexpr size_t MaxResponseBytes = 32 << 20;
+
 /// One connection to one server, with one request at a time. The next request
 /// replaces a connection that failed, or on which the server has sent more than
 /// the answers, such as a second copy of one.
