Object API: a deep value of another writer no longer ends a process

Now a value nested more than 32 deep is taken for `null`, which no reader of settings or rosters accepts; the depth is measured without recursion.

Evidence: StoreJson.ADeepValueCostsNothingButItself ends with signal 11 on the commit before and passes here.

--- a/src/objectstore/storejson.cpp
+++ b/src/objectstore/storejson.cpp
@@ -1,9 +1,12 @@
 // Converts HTTP status codes and JSON bodies to typed answers and back.
 #include "objectstore/storejson.h"
 
+#include "types/jsoninput.h"
+
 #include <charconv>
-#include <nlohmann/json.hpp>
 #include <optional>
+#include <utility>
+#include <vector>
 
 namespace dragonflystall {
 
@@ -81,6 +84,24 @@
   return It != Body.end() && It->is_string() ? It->get<std::string>() : "";
 }
 
+/// Whether arrays and objects are nested deeper than any of ours. Printing
+/// takes stack for each level.
+bool isDeep(const Json &Value) {
+  const size_t MaxDepth = JsonLimits{}.MaxDepth;
+  std::vector<std::pair<const Json *, size_t>> Pending = {{&Value, 1}};
+  while (!Pending.empty()) {
+    const auto [Next, Depth] = Pending.back();
+    Pending.pop_back();
+    if (!Next->is_structured())
+      continue;
+    if (Depth > MaxDepth)
+      return true;
+    for (const Json &Child : *Next)
+      Pending.push_back({&Child, Depth + 1});
+  }
+  return false;
+}
+
 std::optional<StoredObject> objectOf(const Json &Body) {
   if (!Body.is_object())
     return std::nullopt;
@@ -96,7 +117,9 @@
   const auto Value = Body.find("value");
   if (!Object.Deleted && Value == Body.end())
     return std::nullopt;
-  if (!Object.Deleted)
+  if (!Object.Deleted && isDeep(*Value))
+    Object.Value = "null"; // Which no reader of settings or rosters accepts.
+  else if (!Object.Deleted)
     Object.Value = Value->dump(-1, ' ', false, Json::error_handler_t::replace);
   return Object;
 }
--- a/src/objectstore/storejson_test.cpp
+++ b/src/objectstore/storejson_test.cpp
@@ -66,6 +66,37 @@
   EXPECT_TRUE(mayWrite("operations", "settings/zones/q"));
 }
 
+/// A list with an object of another writer, whose value is this, and a good
+/// one.
+HttpAnswer listWithValue(const std::string &Value) {
+  HttpAnswer Http{.Status = 200};
+  Http.Body =
+      R"({"revision":9,"objects":[{"key":"a/1","version":5,"writer":"w",)"
+      R"("value":)" +
+      Value + R"(},{"key":"a/2","version":6,"writer":"w","value":{"x":1}}]})";
+  return Http;
+}
+
+// Printing a value takes stack for each level of it: such an object ended every
+// process that read the list.
+TEST(StoreJson, ADeepValueCostsNothingButItself) {
+  constexpr size_t Depth = 200'000;
+  const std::string Deep = std::string(Depth, '[') + std::string(Depth, ']');
+  const StoreAnswer Answer = decodeAnswer(
+      {.Kind = StoreCallKind::List, .Key = "a/"}, listWithValue(Deep));
+  ASSERT_EQ(Answer.Status, StoreStatus::Done);
+  ASSERT_EQ(Answer.Objects.size(), 2U);
+  EXPECT_EQ(Answer.Objects[0].Value, "null");
+  EXPECT_EQ(Answer.Objects[1].Value, R"({"x":1})");
+}
+
+TEST(StoreJson, AHugeNumberCostsNothingButItself) {
+  const StoreAnswer Answer = decodeAnswer(
+      {.Kind = StoreCallKind::List, .Key = "a/"}, listWithValue("1e999"));
+  ASSERT_EQ(Answer.Status, StoreStatus::Done);
+  EXPECT_EQ(Answer.Objects.size(), 2U);
+}
+
 RC_GTEST_PROP(StoreJson, ArbitraryBytesAreDecodedOrRejected, ()) {
   MemoryStore Store = storeWithOneObjectAndATombstone();
   for (const StoreCall &Call : {List, Get, Put}) {
