--- a/src/node/agent.cpp
+++ b/src/node/agent.cpp
@@ -153,7 +153,7 @@
   if (Beat)
     return onHeartbeat(*Beat);
   Services_.log(LogClass::Notable, "heartbeat-unreadable")
-      .text("target", Request.Target);
+      .text("path", pathOf(Request.Target));
   return emptyJsonResponse(HttpStatus::BadRequest);
 }
 
