Configuration: an unchanged list of evacuations is not taken for a late watch

Cause, found when reading the diff: catching up with a manifest takes a peer's evacuations too, whose revision grows with each change of the store. That was taken for a change that the own watch owed, so that 10 s later each process listed the evacuations linearizably.

Change: only a change of the zones counts. The time is a setting of ConfigSources, so that a test can play it.

Evidence: CatchUpFromPeers.AWatchOfEvacuationsWithoutAChangeIsNotLate fails with the earlier condition (a linearizable call counted) and passes here.

--- a/src/node/catchup_test.cpp
+++ b/src/node/catchup_test.cpp
@@ -93,6 +93,28 @@
             platform::PeerStateParts::All);
 }
 
+// The revision of a peer's evacuations, which grows with each change of the
+// store, was taken for a change that the own watch had missed.
+TEST_F(CatchUpFromPeers, AWatchOfEvacuationsWithoutAChangeIsNotLate) {
+  constexpr Duration MaxLag = 200ms;
+  ConfigSources Sources{
+      {StoreAddress, 20s, platform::Consistency::Serializable}, {}};
+  Sources.MaxWatchLag = MaxLag;
+  Source = std::make_unique<ConfigSource>(
+      Shared, Health, Sources, ConfigSource::Callbacks{[] {}, [] {}, {}});
+  ASSERT_TRUE(followsVersion(1));
+  AheadState.Evacuations.Revision = {1, 1000};
+  HttpServer Peer(Shared.Base.get(), serving(AheadState));
+  ASSERT_TRUE(Peer.listen(OtherAddress));
+  report(2, OtherAddress);
+  ASSERT_TRUE(followsVersion(2));
+  put(2);
+  run(3 * MaxLag);
+  EXPECT_EQ(Shared.Counts.prometheusText().find(
+                name(platform::Consistency::Linearizable)),
+            std::string::npos);
+}
+
 /// A process that learns from the store alone, whose serializable reads are
 /// seconds old.
 struct OutdatedReads : ConfigFixture {
--- a/src/node/configfixture_test.h
+++ b/src/node/configfixture_test.h
@@ -88,6 +88,9 @@
   explicit SilentServer(Endpoint Local)
       : Socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
     constexpr int Backlog = 8;
+    constexpr int Enabled = 1;
+    // Connections of an earlier test may linger at the address.
+    ::setsockopt(Socket_, SOL_SOCKET, SO_REUSEADDR, &Enabled, sizeof Enabled);
     sockaddr_in Address{};
     Address.sin_family = AF_INET;
     Address.sin_addr.s_addr = htonl(Local.Ip);
--- a/src/node/configsource.cpp
+++ b/src/node/configsource.cpp
@@ -53,6 +53,7 @@
                           ListedZones_.insert(Event.Item.Name);
                       onListedZones();
                     }}),
+      ManifestLag_(Sources_.MaxWatchLag), EvacuationLag_(Sources_.MaxWatchLag),
       StartedAt_(Shared.now()) {
   if (Sources_.FirstStart)
     Config_.history().onFirstStart(StartedAt_);
@@ -261,12 +262,13 @@
 }
 
 void ConfigSource::noteWatchLag(const opaque::ConfigVersions &Before) {
-  const int64_t Version = Config_.manifest().Version;
-  const opaque::StoreRevision Revision = Config_.evacuations().revision();
-  if (Version > Before.ManifestVersion)
-    ManifestLag_.onPeerAhead(Version, Services_.now());
-  if (Revision > Before.EvacuationRevision)
-    EvacuationLag_.onPeerAhead(Revision, Services_.now());
+  const opaque::ConfigVersions After = opaque::configVersionsOf(Config_);
+  if (After.ManifestVersion > Before.ManifestVersion)
+    ManifestLag_.onPeerAhead(After.ManifestVersion, Services_.now());
+  // The revision alone grows with each change of the store, of which a watch of
+  // evacuations need not tell.
+  if (After.EvacuatedZones != Before.EvacuatedZones)
+    EvacuationLag_.onPeerAhead(After.EvacuationRevision, Services_.now());
 }
 
 void ConfigSource::replaceOverdueWatches(TimePoint Now) {
--- a/src/node/configsource.h
+++ b/src/node/configsource.h
@@ -19,6 +19,9 @@
   Duration MaxFlowAge = opaque::RouteHistory::DefaultMaxFlowAge;
   /// The deployment starts for the first time: there are no flows yet.
   bool FirstStart = false;
+  /// A watch that has not delivered within this time what a peer has brought is
+  /// replaced. Serializable reads may be seconds old.
+  Duration MaxWatchLag = 10s;
 };
 
 class ConfigSource {
@@ -55,6 +58,9 @@
   }
 
 private:
+  using StateHandler =
+      std::function<void(const std::optional<platform::PeerState> &)>;
+
   /// A manifest's continuity with the one before depends on its source.
   enum class Source : uint8_t { List, Watch, Peer };
 
@@ -69,9 +75,6 @@
                         std::string_view From);
   /// From: the source of the change, for the log.
   void onEvacuationsChanged(std::string_view From);
-  using StateHandler =
-      std::function<void(const std::optional<platform::PeerState> &)>;
-
   /// Fetches the state of a seed, for a process that has just started.
   void fetchFromSeed(TimePoint Now);
   /// Fetches from a peer that is ahead, if a fetch is due.
--- a/src/opaque/catchup.h
+++ b/src/opaque/catchup.h
@@ -47,7 +47,7 @@
   void onAnswer(Endpoint Http, const ConfigVersions &Ours, TimePoint Now);
   /// A fetch has ended without an answer that could be read.
   void onFailure(Endpoint Http, TimePoint Now);
-  /// Whether some peer is known to be ahead, or was when it last reported.
+  /// Whether no peer was ahead when it last reported.
   bool isIdle() const { return Peers_.empty(); }
 
 private:
--- a/src/opaque/storewatch.h
+++ b/src/opaque/storewatch.h
@@ -163,8 +163,8 @@
 /// that grows.
 template <typename Position> class WatchLag {
 public:
-  /// A watch that is later than this has missed the change.
-  static constexpr Duration MaxLag = 10s;
+  /// A watch that is later than MaxLag has missed the change.
+  explicit WatchLag(Duration MaxLag) : MaxLag_(MaxLag) {}
 
   /// A peer has brought this, and the watch has yet to deliver it.
   void onPeerAhead(Position Known, TimePoint Now) {
@@ -181,7 +181,7 @@
   }
   /// Whether the watch must be replaced. If so, it owes nothing afterwards.
   bool takeOverdue(TimePoint Now) {
-    if (!Owed_ || Now - Owed_->Since <= MaxLag)
+    if (!Owed_ || Now - Owed_->Since <= MaxLag_)
       return false;
     Owed_.reset();
     return true;
@@ -192,6 +192,7 @@
     Position Known;
     TimePoint Since;
   };
+  Duration MaxLag_;
   std::optional<Debt> Owed_; ///< The earliest.
 };
 
--- a/src/opaque/storewatch_test.cpp
+++ b/src/opaque/storewatch_test.cpp
@@ -138,7 +138,8 @@
 // Guards against a linearizable list by every process for each change while
 // serializable reads are seconds old: a watch that is late delivers by itself.
 TEST(WatchLag, AWatchIsReplacedOnlyOnceItIsLaterThanAnyReadMayBe) {
-  WatchLag<int64_t> Lag;
+  constexpr Duration MaxLag = 10s;
+  WatchLag<int64_t> Lag(MaxLag);
   TimePoint Now{100s};
   for (int64_t Version = 1; Version < 60; ++Version, Now += 1s) {
     Lag.onPeerAhead(Version, Now);
@@ -146,7 +147,7 @@
       Lag.onDelivered(Version - 5, Version, Now);
     EXPECT_FALSE(Lag.takeOverdue(Now)) << Version;
   }
-  Now += WatchLag<int64_t>::MaxLag + 1ms;
+  Now += MaxLag + 1ms;
   EXPECT_TRUE(Lag.takeOverdue(Now));
   EXPECT_FALSE(Lag.takeOverdue(Now));
 }
