Node: the state for peers moves out of platform/

Now node/peerstate holds it, and types/jsonfields the readers of single fields that both use.

No functional change.

--- a/src/node/catchup_test.cpp
+++ b/src/node/catchup_test.cpp
@@ -15,7 +15,7 @@
   static constexpr Endpoint AheadAddress = {StoreAddress.Ip, 18444};
   static constexpr Endpoint OtherAddress = {StoreAddress.Ip, 18445};
 
-  platform::PeerState AheadState;
+  PeerState AheadState;
   std::unique_ptr<HttpServer> Ahead;
 
   void SetUp() override {
@@ -87,10 +87,9 @@
   report(2, OtherAddress);
   ASSERT_TRUE(followsVersion(2));
   ASSERT_EQ(Targets.size(), 1U);
-  EXPECT_EQ(platform::partsOf({HttpMethod::Get, Targets[0], {}}),
-            platform::PeerStateParts::Configuration);
-  EXPECT_EQ(platform::partsOf({HttpMethod::Get, "/state", {}}),
-            platform::PeerStateParts::All);
+  EXPECT_EQ(partsOf({HttpMethod::Get, Targets[0], {}}),
+            PeerStateParts::Configuration);
+  EXPECT_EQ(partsOf({HttpMethod::Get, "/state", {}}), PeerStateParts::All);
 }
 
 // The revision of a peer's evacuations, which grows with each change of the
@@ -140,7 +139,7 @@
 // Each process that had caught up with a peer listed linearizably, for each
 // change: more reads than the store allows while many reads are old.
 TEST_F(OutdatedReads, AProcessThatHasCaughtUpReadsSerializably) {
-  platform::PeerState State;
+  PeerState State;
   State.ManifestContent = manifest(2);
   HttpServer Ahead(Shared.Base.get(), serving(State));
   const Endpoint Address = {StoreAddress.Ip, 18447};
--- a/src/node/configfixture_test.h
+++ b/src/node/configfixture_test.h
@@ -75,9 +75,9 @@
     return comesTrue([&] { return config().manifest().Version == Version; });
   }
   /// Serves a state as a peer does; the address is for fetches from it.
-  static HttpServer::Handler serving(platform::PeerState State) {
+  static HttpServer::Handler serving(PeerState State) {
     return [State = std::move(State)](const HttpRequest &) {
-      return jsonResponse(HttpStatus::Ok, platform::encodePeerState(State));
+      return jsonResponse(HttpStatus::Ok, encodePeerState(State));
     };
   }
 };
--- a/src/node/configsource.cpp
+++ b/src/node/configsource.cpp
@@ -143,8 +143,7 @@
   Callbacks_.OnManifest();
 }
 
-void ConfigSource::offerManifestOfPeer(const platform::PeerState &State,
-                                       Endpoint Peer) {
+void ConfigSource::offerManifestOfPeer(const PeerState &State, Endpoint Peer) {
   if (State.ManifestContent.empty())
     return;
   auto Theirs = readManifest(State.ManifestContent, Source::Peer);
@@ -198,8 +197,8 @@
   const auto Free = std::find_if(
       CatchUpChannels_.begin(), CatchUpChannels_.end(),
       [](const auto &Channel) { return !Channel || !Channel->busy(); });
-  fetch(*Free, *Peer, platform::PeerStateParts::Configuration,
-        [this, Peer = *Peer](const std::optional<platform::PeerState> &State) {
+  fetch(*Free, *Peer, PeerStateParts::Configuration,
+        [this, Peer = *Peer](const std::optional<PeerState> &State) {
           if (!State)
             return CatchUp_.onFailure(Peer, Services_.now());
           const opaque::ConfigVersions Before =
@@ -216,37 +215,37 @@
   if (SeedChannel_ && SeedChannel_->busy())
     return;
   const Endpoint Seed = Sources_.Seeds[NextSeed_++ % Sources_.Seeds.size()];
-  fetch(SeedChannel_, Seed, platform::PeerStateParts::All,
-        [this, Seed](const std::optional<platform::PeerState> &State) {
+  fetch(SeedChannel_, Seed, PeerStateParts::All,
+        [this, Seed](const std::optional<PeerState> &State) {
           if (State)
             onSeedState(*State, Seed);
         });
 }
 
 void ConfigSource::fetch(std::unique_ptr<HttpChannel> &Channel, Endpoint Peer,
-                         platform::PeerStateParts Parts, StateHandler OnState) {
+                         PeerStateParts Parts, StateHandler OnState) {
   Channel = std::make_unique<HttpChannel>(Services_.Base.get(), Peer);
-  Channel->request(
-      platform::peerStateCall(Parts), FetchTimeout,
-      [this, Peer, OnState = std::move(OnState)](
-          const tl::expected<HttpResponse, HttpFailure> &Result) {
-        const bool IsAnswered = Result && Result->Status == HttpStatus::Ok;
-        const auto State =
-            IsAnswered ? platform::decodePeerState(Result->Body) : std::nullopt;
-        if (!State)
-          Services_.log(LogClass::Notable, "peer-state-failed")
-              .text("peer", toString(Peer))
-              .number("answered", IsAnswered);
-        else if (State->Skipped > 0)
-          Services_.log(LogClass::Notable, "peer-agents-skipped")
-              .text("peer", toString(Peer))
-              .number("count", State->Skipped);
-        OnState(State);
-      });
+  Channel->request(peerStateCall(Parts), FetchTimeout,
+                   [this, Peer, OnState = std::move(OnState)](
+                       const tl::expected<HttpResponse, HttpFailure> &Result) {
+                     const bool IsAnswered =
+                         Result && Result->Status == HttpStatus::Ok;
+                     const auto State = IsAnswered
+                                            ? decodePeerState(Result->Body)
+                                            : std::nullopt;
+                     if (!State)
+                       Services_.log(LogClass::Notable, "peer-state-failed")
+                           .text("peer", toString(Peer))
+                           .number("answered", IsAnswered);
+                     else if (State->Skipped > 0)
+                       Services_.log(LogClass::Notable, "peer-agents-skipped")
+                           .text("peer", toString(Peer))
+                           .number("count", State->Skipped);
+                     OnState(State);
+                   });
 }
 
-void ConfigSource::onSeedState(const platform::PeerState &State,
-                               Endpoint Seed) {
+void ConfigSource::onSeedState(const PeerState &State, Endpoint Seed) {
   ++SeedAnswers_;
   AgentsKnown_ = AgentsKnown_ || State.Agents.IsComplete;
   onPeerState(State, Seed);
@@ -254,8 +253,7 @@
     Callbacks_.OnAgents(State.Agents);
 }
 
-void ConfigSource::onPeerState(const platform::PeerState &State,
-                               Endpoint Peer) {
+void ConfigSource::onPeerState(const PeerState &State, Endpoint Peer) {
   offerManifestOfPeer(State, Peer);
   if (State.Evacuations.Revision.isSet())
     offerEvacuations(State.Evacuations, "peer");
--- a/src/node/configsource.h
+++ b/src/node/configsource.h
@@ -4,6 +4,7 @@
 #define DRAGONFLYSTALL_SRC_NODE_CONFIGSOURCE_H
 
 #include "node/objectwatcher.h"
+#include "node/peerstate.h"
 #include "opaque/catchup.h"
 
 namespace dragonflystall::node {
@@ -58,8 +59,7 @@
   }
 
 private:
-  using StateHandler =
-      std::function<void(const std::optional<platform::PeerState> &)>;
+  using StateHandler = std::function<void(const std::optional<PeerState> &)>;
 
   /// A manifest's continuity with the one before depends on its source.
   enum class Source : uint8_t { List, Watch, Peer };
@@ -82,16 +82,16 @@
   /// Requests a peer's state over the channel, which it replaces. Calls OnState
   /// with the state, or with std::nullopt if there is none that can be read.
   void fetch(std::unique_ptr<HttpChannel> &Channel, Endpoint Peer,
-             platform::PeerStateParts Parts, StateHandler OnState);
-  void onSeedState(const platform::PeerState &State, Endpoint Seed);
-  void onPeerState(const platform::PeerState &State, Endpoint Peer);
+             PeerStateParts Parts, StateHandler OnState);
+  void onSeedState(const PeerState &State, Endpoint Seed);
+  void onPeerState(const PeerState &State, Endpoint Peer);
   /// Notes what the watches have yet to deliver. Before: the versions before
   /// the state of a peer that is ahead was taken.
   void noteWatchLag(const opaque::ConfigVersions &Before);
   /// Replaces the watches that have stopped working.
   void replaceOverdueWatches(TimePoint Now);
   /// Takes the manifest and the route history of a peer.
-  void offerManifestOfPeer(const platform::PeerState &State, Endpoint Peer);
+  void offerManifestOfPeer(const PeerState &State, Endpoint Peer);
   /// Logs the route history after that of a peer was merged.
   void logHistory(const opaque::RouteHistoryState &Theirs,
                   int64_t TheirManifest, Endpoint Peer);
--- a/src/node/process.cpp
+++ b/src/node/process.cpp
@@ -162,15 +162,15 @@
   return emptyJsonResponse(HttpStatus::NotFound);
 }
 
-std::string Process::stateForPeer(platform::PeerStateParts Parts) const {
+std::string Process::stateForPeer(PeerStateParts Parts) const {
   const TimePoint Now = Services_.now();
-  platform::PeerState State;
+  PeerState State;
   State.ManifestContent = Config_.manifestContent();
   State.Evacuations = config().evacuations().state(Now);
   State.History = config().history().state(Now);
-  if (Parts == platform::PeerStateParts::All)
+  if (Parts == PeerStateParts::All)
     State.Agents = agentsForPeers();
-  return platform::encodePeerState(State);
+  return encodePeerState(State);
 }
 
 HttpResponse Process::answer(const HttpRequest &Request) {
@@ -178,9 +178,8 @@
   if (Path == "/ready")
     return emptyJsonResponse(ready() && !Stopping_ ? HttpStatus::Ok
                                                    : HttpStatus::Unavailable);
-  if (Path == platform::PeerStatePath)
-    return jsonResponse(HttpStatus::Ok,
-                        stateForPeer(platform::partsOf(Request)));
+  if (Path == PeerStatePath)
+    return jsonResponse(HttpStatus::Ok, stateForPeer(partsOf(Request)));
   if (Path == "/metrics") {
     ManifestVersion_.set(config().manifest().Version);
     StoreUp_.set(Health_.up());
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -72,7 +72,7 @@
   void reload(std::string_view Cause);
   void stop();
   HttpResponse answer(const HttpRequest &Request);
-  std::string stateForPeer(platform::PeerStateParts Parts) const;
+  std::string stateForPeer(PeerStateParts Parts) const;
   void onControlBytes(Endpoint From, std::string_view Bytes);
 
   SettingsReader ReadSettings_;
--- a/src/node/restoredstore_test.cpp
+++ b/src/node/restoredstore_test.cpp
@@ -93,9 +93,9 @@
 // Guards against a balancer that takes the answer of a peer which has just
 // started, too, for all there is to know: an open flow was reset.
 TEST_F(RestoredStore, AnotherPeerIsAskedAfterOneThatKnowsNothing) {
-  platform::PeerState New;
+  PeerState New;
   New.ManifestContent = manifest(1);
-  platform::PeerState Informed = New;
+  PeerState Informed = New;
   Informed.Agents = {{{"a", "desk", "zone-a", {1, 1}, {1, 2}}}, true};
   Informed.History.Span = opaque::RouteHistory::DefaultMaxFlowAge;
   HttpServer NewPeer(Shared.Base.get(), serving(New));
--- a/src/opaque/storereaders.h
+++ b/src/opaque/storereaders.h
@@ -2,10 +2,10 @@
 // balancers that all learn the same few changes.
 //
 // Agents hear the pings of the balancers, rank them, and report each balancer's
-// rank to it. The first few are primary readers. The
-// others watch the store serializably, which does not count toward its rate and
-// may be late, and catch up by the versions that pings and pongs carry. Nothing
-// is agreed on: too many or too few primary readers for a while do no harm.
+// rank to it. The first few are primary readers. The others watch the store
+// serializably, which does not count toward its rate and may be late, and catch
+// up by the versions that pings and pongs carry. Nothing is agreed on: too many
+// or too few primary readers for a while do no harm.
 #ifndef DRAGONFLYSTALL_SRC_OPAQUE_STOREREADERS_H
 #define DRAGONFLYSTALL_SRC_OPAQUE_STOREREADERS_H
 
