Configuration: a change that is reported during a fetch is fetched next

Cause, found when reading the diff: whether an answer was of use was judged by what the peer had reported last, also during the fetch. If the configuration changed again meanwhile, the peer was left alone for 2 s although its answer had brought all that it was fetched for. In a storm of changes the next report put that right; after the last change of it nothing did.

Change: an answer is judged by what the peer had reported when the fetch began.

Evidence: CatchUp.AChangeDuringAFetchIsFetchedNext fails with the earlier condition (no fetch where one is due) and passes here.

--- a/src/opaque/catchup.cpp
+++ b/src/opaque/catchup.cpp
@@ -78,6 +78,7 @@
   if (!IsDue || !Best || !mayFetch(Now))
     return std::nullopt;
   Best->IsFetching = true;
+  Best->FetchedFor = Best->Versions;
   LastStart_ = Now;
   return Best->Http;
 }
@@ -93,7 +94,7 @@
 void CatchUp::onAnswer(Endpoint Http, const ConfigVersions &Ours,
                        TimePoint Now) {
   const Peer *Asked = find(Http);
-  const bool WasUseful = Asked && !isBehind(Ours, Asked->Versions);
+  const bool WasUseful = Asked && !isBehind(Ours, Asked->FetchedFor);
   endFetch(Http, WasUseful ? TimePoint{} : Now + UselessPause);
 }
 
--- a/src/opaque/catchup.h
+++ b/src/opaque/catchup.h
@@ -59,6 +59,8 @@
     TimePoint LastReport{};
     TimePoint PausedUntil{};
     bool IsFetching = false;
+    /// As reported when the latest fetch began: all that its answer must bring.
+    ConfigVersions FetchedFor = {};
   };
 
   Peer *find(Endpoint Http);
--- a/src/opaque/catchup_test.cpp
+++ b/src/opaque/catchup_test.cpp
@@ -27,6 +27,22 @@
   EXPECT_EQ(Peers.next(Old, Now), Peer);
 }
 
+// A peer that reported yet another change during a fetch was left alone for
+// seconds, as its answer did not have that change.
+TEST(CatchUp, AChangeDuringAFetchIsFetchedNext) {
+  const ConfigVersions Newest = {3, {}, 0};
+  CatchUp Peers;
+  TimePoint Now{100s};
+  Peers.onReport(Peer, New, Old, Now);
+  Now += CatchUp::WatchDelay;
+  ASSERT_EQ(Peers.next(Old, Now), Peer);
+  Peers.onReport(Peer, Newest, Old, Now);
+  Peers.onAnswer(Peer, New, Now);
+  EXPECT_EQ(Peers.next(New, Now), Peer);
+  Peers.onAnswer(Peer, Newest, Now);
+  EXPECT_EQ(Peers.next(Newest, Now), std::nullopt);
+}
+
 TEST(CatchUp, AFailureLeadsToTheNextPeerAtOnce) {
   CatchUp Peers;
   TimePoint Now{100s};
--- a/src/types/jsoninput.h
+++ b/src/types/jsoninput.h
@@ -32,6 +32,7 @@
 
 /// Whether a text consists of whole UTF-8 characters.
 bool isUtf8(std::string_view Text);
+
 /// Converts a number of milliseconds. Numbers below zero, and those that are no
 /// numbers, are taken for zero, longer times than MaxReportedTime for that.
 Duration reportedMilliseconds(double Count);
