--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -24,7 +24,8 @@
 constexpr Duration ReadAge = 5s;
 /// From the last random fault until its end, and until all count as stable.
 constexpr Duration CalmAfter = 12s;
-/// Two drops of a route, the second one after a restart of all balancers.
+/// Times since the reads became outdated: two drops of a route, the second one
+/// after a restart of all balancers.
 constexpr Duration FirstDrop = 1s;
 constexpr Duration BalancerRestarts = 7s;
 constexpr Duration BalancerDowntime = 300ms;
--- a/src/opaque/catchup.h
+++ b/src/opaque/catchup.h
@@ -3,10 +3,10 @@
 // from the store at about the same time, or, if their reads of the store are
 // outdated, from the few that read it linearizably.
 //
-// Guarantee: while any peer in reach has reported a newer configuration, a
-// fetch starts WatchDelay after the first such report, and another one each
-// HedgeDelay until one has brought it, whatever other peers report or fail to
-// answer.
+// Guarantee: while a peer in reach reports a newer configuration, a fetch
+// starts WatchDelay after its first such report, and another one, from another
+// peer that is ahead, after each HedgeDelay without an answer, up to MaxFetches
+// at once. What other peers report or fail to answer delays neither.
 #ifndef DRAGONFLYSTALL_SRC_OPAQUE_CATCHUP_H
 #define DRAGONFLYSTALL_SRC_OPAQUE_CATCHUP_H
 
