--- a/src/opaque/incarnation_test.cpp
+++ b/src/opaque/incarnation_test.cpp
@@ -1,71 +1,11 @@
 // Calls of an upstream that arrive late, after it has started again or its
 // address has gone to another one.
-#include "opaque/upstream.h"
-
-#include <gtest/gtest.h>
+#include "opaque/upstreamfixture_test.h"
 
 namespace dragonflystall::opaque::test {
 namespace {
 
-const Endpoint Address = {0x0a010001, 8000};
-constexpr Duration Interval = 800ms;
-
-/// One agent of the service "desk" whose upstream is not cold.
-struct Incarnations : testing::Test {
-  TimePoint Now{100s};
-  Configuration Config;
-  std::string Service = "desk";
-  std::unique_ptr<Upstream> Local;
-
-  void SetUp() override {
-    Manifest M;
-    M.Version = 1;
-    M.Services["desk"] = {0};
-    Config.offer(M, Continuity::Unbroken, Now);
-    startAgent();
-  }
-  void setWarmUp(Duration Length) {
-    Manifest M;
-    M.Version = 2;
-    M.Services["desk"] = {0, Length};
-    Config.offer(M, Continuity::Unbroken, Now);
-  }
-  void startAgent() {
-    Local = std::make_unique<Upstream>(
-        UpstreamSettings{Address, "a", 2s, Interval, 1, 5, Service}, Config,
-        Now);
-  }
-  Heartbeat beat(const std::string &Id, int64_t Born, int64_t Sequence) const {
-    Heartbeat Beat;
-    Beat.Id = Id;
-    Beat.Service = "desk";
-    Beat.Address = Address;
-    Beat.Sequence = Sequence;
-    Beat.Started = Born;
-    return Beat;
-  }
-  HeartbeatVerdict hear(const Heartbeat &Beat) {
-    return Local->onHeartbeat(Beat, Now);
-  }
-  /// Hears a start until it is proven; returns the number of its last call.
-  int64_t settle(Heartbeat Beat) {
-    hear(Beat);
-    for (int I = 0; I < 3; ++I) {
-      run(Interval);
-      ++Beat.Sequence;
-      hear(Beat);
-    }
-    return Beat.Sequence;
-  }
-  template <typename Time> void run(Time Length) {
-    for (const TimePoint End =
-             Now + std::chrono::duration_cast<Duration>(Length);
-         Now < End;) {
-      Now += Upstream::TickInterval;
-      Local->tick(Now);
-    }
-  }
-};
+struct Incarnations : OneUpstream {};
 
 // Guards against review/4: the first heartbeat that a restarted agent received
 // was a late one of the service that had the address before, and the agent
