Agent: the sign that an upstream is younger than its agent is a class of its own

Heartbeat, SlidingBudget and StartAge come out of upstream.h, which held four concepts.

No functional change.

--- a/src/opaque/upstream.cpp
+++ b/src/opaque/upstream.cpp
@@ -18,30 +18,9 @@
 constexpr Duration UnresponsiveAfter = 300ms;
 constexpr uint32_t UnresponsiveSyns = 3;
 constexpr Duration ProbeInterval = 250ms;
-/// A process that has ended is started again after this time at the earliest:
-/// an upstream that is not older than the agent by more has met no earlier run.
-constexpr Duration RestartTime = 50ms;
 
 } // namespace
 
-void SlidingBudget::expire(TimePoint Now) {
-  while (!Spent_.empty() && Now - Spent_.front() > Window)
-    Spent_.pop_front();
-}
-
-void SlidingBudget::spend(uint32_t Limit, TimePoint Now) {
-  expire(Now);
-  Spent_.push_back(Now);
-  for (; Spent_.size() > Limit; Spent_.pop_front())
-    Dropped_ = Spent_.front();
-}
-
-bool SlidingBudget::allows(uint32_t Limit, TimePoint Now) {
-  expire(Now);
-  return Now >= BlockedUntil_ && Now > Dropped_ + Window &&
-         Spent_.size() < Limit;
-}
-
 HeartbeatVerdict Upstream::onHeartbeat(const Heartbeat &Beat, TimePoint Now) {
   if (Beat.Address != Settings_.Address)
     return HeartbeatVerdict::Elsewhere;
@@ -76,41 +55,39 @@
   const bool WasUnknown = !isKnown();
   accept(Beat, Now);
   if (Found == Finding::Present) {
-    IsAgeUnknown_ = IsAgeUnknown_ && !Config_.hasManifest();
+    Age_.onNext(Config_.hasManifest());
     return WasProven ? HeartbeatVerdict::Taken : confirmAge(Beat, Now);
   }
   IsFirstHeard_ = WasUnknown;
-  IsAgeUnknown_ = WasUnknown;
-  SeemsYounger_ = WasUnknown && isYounger(Beat, Now);
-  if (SeemsYounger_)
+  if (WasUnknown)
+    Age_.onFirstHeard(Beat, warmUpOf(Beat.Service), Now);
+  else
+    Age_.refute();
+  if (Age_.seemsYounger())
     ColdBudget_.cancelSpendAll();
-  return Found == Finding::Observed || SawNoUpstream_ || SeemsYounger_
+  return Found == Finding::Observed || Age_.isCertain() || Age_.seemsYounger()
              ? HeartbeatVerdict::TakenNewStart
              : HeartbeatVerdict::TakenRunning;
 }
 
-bool Upstream::isYounger(const Heartbeat &Beat, TimePoint Now) const {
+Duration Upstream::warmUpOf(const std::string &Service) const {
   const auto &Services = Config_.manifest().Services;
-  const auto It = Services.find(Beat.Service);
-  if (It == Services.end() || Beat.ColdFor <= Duration::zero())
-    return false;
-  const Duration Age = It->second.Length - Beat.ColdFor;
-  return Age >= Duration::zero() && Age < Now - StartedAt_ + RestartTime;
+  const auto It = Services.find(Service);
+  return It == Services.end() ? Duration::zero() : It->second.Length;
 }
 
 HeartbeatVerdict Upstream::onManifest() {
-  if (!IsAgeUnknown_ || SeemsYounger_ || !isYounger(Beat_, LastAlive_))
+  if (!Age_.onWarmUpKnown(Beat_, warmUpOf(Beat_.Service), LastAlive_))
     return HeartbeatVerdict::Taken;
-  IsAgeUnknown_ = false;
-  SeemsYounger_ = true;
   ColdBudget_.cancelSpendAll();
   return HeartbeatVerdict::TakenNewStart;
 }
 
 HeartbeatVerdict Upstream::confirmAge(const Heartbeat &Beat, TimePoint Now) {
-  if (!SeemsYounger_ || !Starts_.isProven() || isYounger(Beat, Now))
+  if (!Age_.seemsYounger() || !Starts_.isProven() ||
+      Age_.isYounger(Beat, warmUpOf(Beat.Service), Now))
     return HeartbeatVerdict::Taken;
-  SeemsYounger_ = false;
+  Age_.refute();
   return HeartbeatVerdict::TakenRunning;
 }
 
@@ -149,7 +126,7 @@
 
 void Upstream::onPortClosed() {
   IsAbsent_ = !isKnown();
-  SawNoUpstream_ = true;
+  Age_.onPortClosed();
   // An earlier run of this agent has admitted no flow to an upstream that
   // starts after this.
   ColdBudget_.cancelSpendAll();
--- a/src/opaque/upstream.h
+++ b/src/opaque/upstream.h
@@ -4,77 +4,15 @@
 #define DRAGONFLYSTALL_SRC_OPAQUE_UPSTREAM_H
 
 #include "opaque/control.h"
-#include "opaque/incarnation.h"
+#include "opaque/heartbeat.h"
 #include "opaque/manifest.h"
+#include "opaque/slidingbudget.h"
+#include "opaque/startage.h"
 
 #include <algorithm>
-#include <deque>
 
 namespace dragonflystall::opaque {
 
-/// The report of an upstream about itself.
-struct Heartbeat {
-  std::string Id;
-  std::string Service;
-  Endpoint Address;
-  uint32_t Slots = 1;
-  bool Draining = false;
-  /// Remaining time of its cold start.
-  Duration ColdFor{};
-  int64_t Sequence = 0;
-  /// Wall time at its start in milliseconds; see Incarnation::Born. 0 if not
-  /// given.
-  int64_t Started = 0;
-
-  Incarnation start() const { return {Id, Started}; }
-};
-
-/// How a heartbeat was handled.
-enum class HeartbeatVerdict : uint8_t {
-  Taken,
-  TakenRunning, ///< First one of a start that may have begun before this agent.
-  TakenNewStart, ///< First one of a start that has begun since.
-  Late,          ///< Ignored: a newer one was received before.
-  OldStart,      ///< Ignored: another start is the present one.
-  Elsewhere,     ///< Ignored: not of this agent's local upstream.
-  OtherService,  ///< Ignored: not of the service in the agent's settings.
-};
-constexpr std::array<std::string_view, 7> HeartbeatVerdictNames = {
-    "taken",     "taken-running", "taken-new-start", "late",
-    "old-start", "elsewhere",     "other-service"};
-constexpr std::string_view name(HeartbeatVerdict V) {
-  return HeartbeatVerdictNames[static_cast<size_t>(V)];
-}
-
-/// Allows at most Limit events in any interval of length Window.
-class SlidingBudget {
-public:
-  /// One second and a margin for packets that arrive closer together than they
-  /// were sent.
-  static constexpr Duration Window = 1100ms;
-
-  /// Counts the whole budget as spent now, since earlier events are unknown.
-  void spendAll(TimePoint Now) { BlockedUntil_ = Now + Window; }
-  /// Cancels spendAll(): spend() has counted all events.
-  void cancelSpendAll() { BlockedUntil_ = {}; }
-  bool allows(uint32_t Limit, TimePoint Now);
-  /// Counts an event, also beyond the limit, which is the present one.
-  void spend(uint32_t Limit, TimePoint Now);
-  /// Number of events that are kept.
-  size_t size() const { return Spent_.size(); }
-
-private:
-  void expire(TimePoint Now);
-
-  /// Events within the window, oldest first; at most as many as the limit.
-  std::deque<TimePoint> Spent_;
-  /// The newest event that was dropped because newer ones fill the limit.
-  /// Nothing is allowed within the window after it, so that the limit also
-  /// holds after it was raised.
-  TimePoint Dropped_ = TimePoint::min();
-  TimePoint BlockedUntil_{};
-};
-
 /// Settings of the deployment for an agent's local upstream.
 struct UpstreamSettings {
   Endpoint Address;
@@ -113,7 +51,7 @@
   Upstream(UpstreamSettings Settings, const Configuration &Config,
            TimePoint Started)
       : Settings_(std::move(Settings)), Config_(Config),
-        Starts_(Settings_.HeartbeatInterval), StartedAt_(Started),
+        Starts_(Settings_.HeartbeatInterval), Age_(Started),
         LastTick_(Started) {
     ColdBudget_.spendAll(Started);
   }
@@ -163,10 +101,12 @@
   bool isKnown() const { return !Beat_.Id.empty(); }
   /// Whether the present start has certainly begun after this agent, provided
   /// that its first heartbeat was a TakenNewStart.
-  bool hasSeenStart() const { return SawNoUpstream_ || Starts_.isProven(); }
+  bool hasSeenStart() const { return Age_.isCertain() || Starts_.isProven(); }
   /// Whether it will soon be certain that the present start has begun after
   /// this agent: until then, the upstream should not be offered unknown flows.
-  bool awaitsProof() const { return SeemsYounger_ && !Starts_.isProven(); }
+  bool awaitsProof() const {
+    return Age_.seemsYounger() && !Starts_.isProven();
+  }
   /// Whether silence will soon tell that the upstream has left, as a call said.
   bool mayHaveLeft() const { return MayHaveLeft_ && !isGone(); }
   /// Whether there is certainly no upstream with open flows at present.
@@ -209,9 +149,8 @@
   bool isServiceSure() const;
   /// Takes what the heartbeat says for the present state.
   void accept(const Heartbeat &Beat, TimePoint Now);
-  /// Whether the heartbeat, unless it is late, was sent by a start that no
-  /// earlier run of this agent has met: its warm-up shows its age.
-  bool isYounger(const Heartbeat &Beat, TimePoint Now) const;
+  /// How long upstreams of the service are cold after a start; 0 if not known.
+  Duration warmUpOf(const std::string &Service) const;
   /// Once the present start is proven, its heartbeats are not late any more:
   /// looks again whether it is younger than this agent.
   HeartbeatVerdict confirmAge(const Heartbeat &Beat, TimePoint Now);
@@ -229,16 +168,9 @@
   /// there was no heartbeat since. Packets may have been sent before the call.
   bool MayHaveLeft_ = false;
   bool IsAbsent_ = false; ///< Not running when this agent started.
-  /// An upstream that runs has started after this agent.
-  bool SawNoUpstream_ = false;
   /// The present start is the first that this agent has heard.
   bool IsFirstHeard_ = false;
-  /// The same, and its age could not be compared yet.
-  bool IsAgeUnknown_ = false;
-  /// The present start seems to have met no earlier run of this agent, by its
-  /// first heartbeat, which may have been late.
-  bool SeemsYounger_ = false;
-  TimePoint StartedAt_; ///< Of this agent.
+  StartAge Age_; ///< Of the present start, while it is the first heard.
   bool IsStopping_ = false;
   bool IsListed_ = true;
   TimePoint LastAlive_{};
