Agent: a warm-up shows a start only at an upstream that has made few calls

Cause: an agent that has just started took the warm-up that is left for the age of the upstream. An upstream also becomes cold at the end of its zone's evacuation, with all its flows: then the warm-up is younger than the agent and the flows are older.

Change: StartAge compares the warm-up only if the start has made two calls at most, the first of which is refused where the agent does not listen yet. The calls are counted from each start anew, and no clock but the steady one is used.

Ruled out: no sign from the warm-up at all. `born` against the agent's clock: wrong by a step of the clock.

--- a/src/opaque/opaquesimulation_test.h
+++ b/src/opaque/opaquesimulation_test.h
@@ -52,6 +52,8 @@
   std::function<void(FakeBalancer &)> ReadAgents;
   /// What processes that start read from the store, if not SharedManifest.
   std::optional<Manifest> StoredManifest;
+  /// The evacuations that agents that start read from the store.
+  std::optional<Evacuations> StoredEvacuations;
 
   FakeHost &addHost(const std::string &Service) {
     FakeHost &Host = Hosts.emplace_back();
@@ -68,6 +70,11 @@
     return Host;
   }
   void startAgent(FakeHost &Host) {
+    startAgentUnheard(Host);
+    beat(Host);
+  }
+  /// Starts an agent whose upstream calls it at its regular time.
+  void startAgentUnheard(FakeHost &Host) {
     Host.Running = true;
     Host.RunningSince = Now;
     Host.Era = {};
@@ -76,8 +83,11 @@
         UpstreamSettings{address(Host), Host.Entry.Zone, 2s, 800ms, 1.5, 5,
                          Host.Entry.Service},
         Host.Config, Now);
+    if (StoredEvacuations) {
+      Host.Config.evacuations().offer(*StoredEvacuations, Now);
+      Host.UpstreamState->onEvacuationsChanged();
+    }
     makeGate(Host);
-    beat(Host);
   }
   void makeGate(FakeHost &Host) {
     Host.PacketGate = std::make_unique<Gate>(Host.Config, *Host.UpstreamState,
--- a/src/opaque/startage.cpp
+++ b/src/opaque/startage.cpp
@@ -13,6 +13,11 @@
 
 bool StartAge::isYounger(const Heartbeat &Beat, Duration WarmUp,
                          TimePoint Now) const {
+  return Beat.Sequence <= MaxCalls && becameColdLater(Beat, WarmUp, Now);
+}
+
+bool StartAge::becameColdLater(const Heartbeat &Beat, Duration WarmUp,
+                               TimePoint Now) const {
   if (Beat.ColdFor <= Duration::zero())
     return false;
   const Duration Age = WarmUp - Beat.ColdFor;
--- a/src/opaque/startage.h
+++ b/src/opaque/startage.h
@@ -7,9 +7,16 @@
 
 namespace dragonflystall::opaque {
 
-/// The age of the first start that an agent hears, by its warm-up.
+/// The age of the first start that an agent hears, by its warm-up and by the
+/// number of its calls. A warm-up alone does not show it: an upstream may also
+/// become cold at the end of its zone's evacuation, with all its flows; see
+/// docs/design/incarnations.md.
 class StartAge {
 public:
+  /// A start that is younger than its agent has made at most this number of
+  /// calls. The first one is refused if the agent does not listen yet.
+  static constexpr int64_t MaxCalls = 2;
+
   explicit StartAge(TimePoint AgentStarted) : AgentStarted_(AgentStarted) {}
 
   /// Call when the upstream's TCP port was refused: an upstream that runs
@@ -31,6 +38,10 @@
   /// Whether the heartbeat, unless it is late, was sent by a start that no
   /// earlier run of the agent has met.
   bool isYounger(const Heartbeat &Beat, Duration WarmUp, TimePoint Now) const;
+  /// Whether the upstream became cold after the agent's start, unless the
+  /// heartbeat is late.
+  bool becameColdLater(const Heartbeat &Beat, Duration WarmUp,
+                       TimePoint Now) const;
   /// Whether the start seems to have met no earlier run of the agent, by its
   /// first heartbeat, which may have been late.
   bool seemsYounger() const { return SeemsYounger_; }
--- a/src/opaque/upstream.cpp
+++ b/src/opaque/upstream.cpp
@@ -85,7 +85,7 @@
 
 HeartbeatVerdict Upstream::confirmAge(const Heartbeat &Beat, TimePoint Now) {
   if (!Age_.seemsYounger() || !Starts_.isProven() ||
-      Age_.isYounger(Beat, warmUpOf(Beat.Service), Now))
+      Age_.becameColdLater(Beat, warmUpOf(Beat.Service), Now))
     return HeartbeatVerdict::Taken;
   Age_.refute();
   return HeartbeatVerdict::TakenRunning;
