Agent: an upstream's first call is compared with the warm-up once

Seen: by reading and by tests only. A manifest that changes the length of the warm-up changed the age that a restarted agent computes for an upstream that was cold before: flows were denied or the cold budget was freed twice, or dead flows got no reset.

Cause: the comparison was made at other moments than that of the call. Each manifest compared the newest heartbeat again, with the time of the last packet in place of that of the call; and the second heartbeat, which shows whether the first one was late, was compared by the manifest of then.

Change: the first call is kept as it was heard and compared with the first length that is known. The second call confirms it by the end of the warm-up, which must not have moved back; no manifest takes part in that.

Tests (StartAges), seen to fail before: ALaterManifestDoesNotMakeAStartYounger, AnAnswerBeforeTheManifest..., ALateCallIsRecognizedThoughTheWarmUpGetsShorter, AStartIsSeenThoughTheWarmUpChanges.

--- a/src/opaque/startage.cpp
+++ b/src/opaque/startage.cpp
@@ -11,36 +11,37 @@
 
 } // namespace
 
-bool StartAge::isYounger(const Heartbeat &Beat, Duration WarmUp,
-                         TimePoint Now) const {
-  return Beat.Sequence <= MaxCalls && becameColdLater(Beat, WarmUp, Now);
-}
-
-bool StartAge::becameColdLater(const Heartbeat &Beat, Duration WarmUp,
-                               TimePoint Now) const {
-  if (Beat.ColdFor <= Duration::zero())
+bool StartAge::isYounger(const FirstCall &Call, Duration WarmUp) {
+  if (Call.ColdFor <= Duration::zero() || Call.Sequence > MaxCalls)
     return false;
-  const Duration Age = WarmUp - Beat.ColdFor;
-  return Age >= Duration::zero() && Age < Now - AgentStarted_ + RestartTime;
+  const Duration ColdSince = WarmUp - Call.ColdFor;
+  return ColdSince >= Duration::zero() &&
+         ColdSince < Call.AgentAge + RestartTime;
 }
 
-void StartAge::onFirstHeard(const Heartbeat &Beat, Duration WarmUp,
-                            TimePoint Now) {
-  IsUnknown_ = true;
-  SeemsYounger_ = isYounger(Beat, WarmUp, Now);
+void StartAge::onFirstHeard(const Heartbeat &Beat,
+                            std::optional<Duration> WarmUp, TimePoint Now) {
+  Uncompared_ = {Beat.ColdFor, Beat.Sequence, Now - AgentStarted_};
+  ColdEnd_ = Now + Beat.ColdFor;
+  if (WarmUp)
+    onWarmUpKnown(*WarmUp);
 }
 
-bool StartAge::onWarmUpKnown(const Heartbeat &Newest, Duration WarmUp,
-                             TimePoint LastAlive) {
-  if (!IsUnknown_ || SeemsYounger_ || !isYounger(Newest, WarmUp, LastAlive))
+bool StartAge::onWarmUpKnown(Duration WarmUp) {
+  if (!Uncompared_)
     return false;
-  IsUnknown_ = false;
-  SeemsYounger_ = true;
-  return true;
+  SeemsYounger_ = isYounger(*Uncompared_, WarmUp);
+  Uncompared_.reset();
+  return SeemsYounger_;
+}
+
+bool StartAge::isConfirmedBy(const Heartbeat &Beat, TimePoint Now) const {
+  return Beat.ColdFor > Duration::zero() &&
+         Now + Beat.ColdFor + RestartTime >= ColdEnd_;
 }
 
 void StartAge::refute() {
-  IsUnknown_ = false;
+  Uncompared_.reset();
   SeemsYounger_ = false;
 }
 
--- a/src/opaque/startage.h
+++ b/src/opaque/startage.h
@@ -5,6 +5,8 @@
 
 #include "opaque/heartbeat.h"
 
+#include <optional>
+
 namespace dragonflystall::opaque {
 
 /// The age of the first start that an agent hears, by its warm-up and by the
@@ -23,25 +25,20 @@
   /// later has started after the agent.
   void onPortClosed() { IsCertain_ = true; }
   /// Call at the first heartbeat that the agent hears. WarmUp: how long an
-  /// upstream is cold after its start; 0 if not known.
-  void onFirstHeard(const Heartbeat &Beat, Duration WarmUp, TimePoint Now);
-  /// Call at the next heartbeats of the same start.
-  void onNext(bool HasManifest) { IsUnknown_ = IsUnknown_ && !HasManifest; }
-  /// Call when the length of the warm-up becomes known after the newest
-  /// heartbeat. Returns whether the start now seems younger than the agent.
-  bool onWarmUpKnown(const Heartbeat &Newest, Duration WarmUp,
-                     TimePoint LastAlive);
+  /// upstream is cold after its start; std::nullopt if no manifest says so.
+  void onFirstHeard(const Heartbeat &Beat, std::optional<Duration> WarmUp,
+                    TimePoint Now);
+  /// Call when a manifest says so. Only the first one is compared with the
+  /// heartbeat: later ones say nothing of a start before them. Returns whether
+  /// the start now seems younger than the agent.
+  bool onWarmUpKnown(Duration WarmUp);
+  /// Whether the heartbeat that proves that the start runs shows that the first
+  /// one was not late: the end of the warm-up has not moved.
+  bool isConfirmedBy(const Heartbeat &Beat, TimePoint Now) const;
   /// Call when the first heartbeat was late, or another start has replaced the
   /// first one.
   void refute();
 
-  /// Whether the heartbeat, unless it is late, was sent by a start that no
-  /// earlier run of the agent has met.
-  bool isYounger(const Heartbeat &Beat, Duration WarmUp, TimePoint Now) const;
-  /// Whether the upstream became cold after the agent's start, unless the
-  /// heartbeat is late.
-  bool becameColdLater(const Heartbeat &Beat, Duration WarmUp,
-                       TimePoint Now) const;
   /// Whether the start seems to have met no earlier run of the agent, by its
   /// first heartbeat, which may have been late.
   bool seemsYounger() const { return SeemsYounger_; }
@@ -49,11 +46,21 @@
   bool isCertain() const { return IsCertain_; }
 
 private:
+  /// What the first heartbeat has shown.
+  struct FirstCall {
+    Duration ColdFor{};
+    int64_t Sequence = 0;
+    Duration AgentAge{};
+  };
+
+  static bool isYounger(const FirstCall &Call, Duration WarmUp);
+
   TimePoint AgentStarted_;
   bool IsCertain_ = false;
-  /// The age of the first start could not be compared yet.
-  bool IsUnknown_ = false;
   bool SeemsYounger_ = false;
+  /// The first heartbeat, while no length of the warm-up is known.
+  std::optional<FirstCall> Uncompared_;
+  TimePoint ColdEnd_{}; ///< By the first heartbeat.
 };
 
 } // namespace dragonflystall::opaque
--- a/src/opaque/startage_test.cpp
+++ b/src/opaque/startage_test.cpp
@@ -71,5 +71,92 @@
   EXPECT_TRUE(Local->hasSeenStart());
 }
 
+// Guards against an agent that compares the age of an upstream again with each
+// manifest: a warm-up that has become shorter makes an old start look young.
+TEST_F(StartAges, ALaterManifestDoesNotMakeAStartYounger) {
+  run(100ms);
+  Heartbeat Beat = cold(2, WarmUpLength - 1s);
+  EXPECT_EQ(hear(Beat), HeartbeatVerdict::TakenRunning);
+  setWarmUp(WarmUpLength - 950ms);
+  EXPECT_EQ(Local->onManifest(), HeartbeatVerdict::Taken);
+  EXPECT_FALSE(Local->awaitsProof());
+  EXPECT_EQ(admitted(), 0u) << "the former run may have admitted as many";
+}
+
+// Guards against an age that grows while the agent waits for its manifest,
+// since packets of open flows are answered meanwhile.
+TEST_F(StartAges, AnAnswerBeforeTheManifestDoesNotMakeAStartYounger) {
+  Config = Configuration();
+  startAgent();
+  run(100ms);
+  Heartbeat Beat = cold(2, WarmUpLength - 600ms);
+  EXPECT_EQ(hear(Beat), HeartbeatVerdict::TakenRunning);
+  run(600ms);
+  Local->onAnswer(Now);
+  setWarmUp(WarmUpLength);
+  EXPECT_EQ(Local->onManifest(), HeartbeatVerdict::Taken);
+  EXPECT_FALSE(Local->awaitsProof());
+}
+
+// Guards against a late first call that is not recognized, since the warm-up
+// became shorter before the second one.
+TEST_F(StartAges, ALateCallIsRecognizedThoughTheWarmUpGetsShorter) {
+  constexpr Duration Late = 1400ms;
+  setWarmUp(3s);
+  run(300ms);
+  Heartbeat Beat = cold(1, 3s - 50ms);
+  EXPECT_EQ(hear(Beat), HeartbeatVerdict::TakenNewStart);
+  setWarmUp(3s - Late);
+  EXPECT_EQ(Local->onManifest(), HeartbeatVerdict::Taken);
+  Beat.ColdFor -= Late;
+  EXPECT_EQ(hearNext(Beat), HeartbeatVerdict::TakenRunning);
+  EXPECT_FALSE(Local->awaitsProof());
+}
+
+// Guards against dead flows that get no reset, since the length of the warm-up
+// was changed between the first two calls of a start.
+TEST_F(StartAges, AStartIsSeenThoughTheWarmUpChanges) {
+  for (const Duration Length : {5 * WarmUpLength, WarmUpLength / 2}) {
+    setWarmUp(WarmUpLength);
+    startAgent();
+    run(300ms);
+    Heartbeat Beat = cold(1, WarmUpLength - 50ms);
+    EXPECT_EQ(hear(Beat), HeartbeatVerdict::TakenNewStart);
+    setWarmUp(Length);
+    EXPECT_EQ(Local->onManifest(), HeartbeatVerdict::Taken);
+    EXPECT_EQ(hearNext(Beat), HeartbeatVerdict::Taken);
+    EXPECT_TRUE(Local->hasSeenStart());
+  }
+}
+
+// An upstream became cold under a warm-up that was longer or shorter than the
+// one that its restarted agent knows. Its former run may have admitted as many
+// new flows as the upstream bears.
+TEST_F(StartAges, ABudgetIsBlockedWhateverTheLengthOfTheWarmUpWas) {
+  for (const Duration Length : {WarmUpLength - 1s, WarmUpLength + 1s}) {
+    setWarmUp(Length);
+    startAgent();
+    run(300ms);
+    EXPECT_EQ(hear(cold(ManyCalls, WarmUpLength - 1s)),
+              HeartbeatVerdict::TakenRunning);
+    EXPECT_EQ(admitted(), 0u);
+    run(SlidingBudget::Window - 300ms);
+    EXPECT_EQ(admitted(), Local->coldLimit());
+  }
+}
+
+// An agent is killed in the second in which its zone is taken back.
+TEST_F(StartAges, TwoRunsOfAnAgentShareTheBudgetOfAZoneThatReturns) {
+  Heartbeat Beat = cold(ManyCalls, WarmUpLength);
+  hear(Beat);
+  run(SlidingBudget::Window);
+  EXPECT_EQ(admitted(), Local->coldLimit());
+  run(100ms);
+  startAgent();
+  Beat.ColdFor -= SlidingBudget::Window + 100ms;
+  EXPECT_EQ(hearNext(Beat, 100ms), HeartbeatVerdict::TakenRunning);
+  EXPECT_EQ(admitted(), 0u);
+}
+
 } // namespace
 } // namespace dragonflystall::opaque::test
--- a/src/opaque/upstream.cpp
+++ b/src/opaque/upstream.cpp
@@ -54,13 +54,11 @@
   }
   const bool WasUnknown = !isKnown();
   accept(Beat, Now);
-  if (Found == Finding::Present) {
-    Age_.onNext(Config_.hasManifest());
+  if (Found == Finding::Present)
     return WasProven ? HeartbeatVerdict::Taken : confirmAge(Beat, Now);
-  }
   IsFirstHeard_ = WasUnknown;
   if (WasUnknown)
-    Age_.onFirstHeard(Beat, warmUpOf(Beat.Service), Now);
+    Age_.onFirstHeard(Beat, warmUp(), Now);
   else
     Age_.refute();
   if (Age_.seemsYounger())
@@ -70,25 +68,29 @@
              : HeartbeatVerdict::TakenRunning;
 }
 
-Duration Upstream::warmUpOf(const std::string &Service) const {
+std::optional<Duration> Upstream::warmUp() const {
   const auto &Services = Config_.manifest().Services;
-  const auto It = Services.find(Service);
-  return It == Services.end() ? Duration::zero() : It->second.Length;
+  const auto It = Services.find(Beat_.Service);
+  if (It == Services.end() || It->second.Length == Duration::zero())
+    return std::nullopt;
+  return It->second.Length;
 }
 
 HeartbeatVerdict Upstream::onManifest() {
-  if (!Age_.onWarmUpKnown(Beat_, warmUpOf(Beat_.Service), LastAlive_))
+  const auto WarmUp = warmUp();
+  if (!WarmUp || !Age_.onWarmUpKnown(*WarmUp))
     return HeartbeatVerdict::Taken;
   ColdBudget_.cancelSpendAll();
   return HeartbeatVerdict::TakenNewStart;
 }
 
 HeartbeatVerdict Upstream::confirmAge(const Heartbeat &Beat, TimePoint Now) {
-  if (!Age_.seemsYounger() || !Starts_.isProven() ||
-      Age_.becameColdLater(Beat, warmUpOf(Beat.Service), Now))
+  if (!Starts_.isProven() || Age_.isConfirmedBy(Beat, Now))
     return HeartbeatVerdict::Taken;
+  const bool SeemedYounger = Age_.seemsYounger();
   Age_.refute();
-  return HeartbeatVerdict::TakenRunning;
+  return SeemedYounger ? HeartbeatVerdict::TakenRunning
+                       : HeartbeatVerdict::Taken;
 }
 
 void Upstream::accept(const Heartbeat &Beat, TimePoint Now) {
--- a/src/opaque/upstream.h
+++ b/src/opaque/upstream.h
@@ -149,10 +149,11 @@
   bool isServiceSure() const;
   /// Takes what the heartbeat says for the present state.
   void accept(const Heartbeat &Beat, TimePoint Now);
-  /// How long upstreams of the service are cold after a start; 0 if not known.
-  Duration warmUpOf(const std::string &Service) const;
+  /// How long an upstream of the service is cold after its start, if there is
+  /// a manifest that says so.
+  std::optional<Duration> warmUp() const;
   /// Once the present start is proven, its heartbeats are not late any more:
-  /// looks again whether it is younger than this agent.
+  /// they show whether the first one was.
   HeartbeatVerdict confirmAge(const Heartbeat &Beat, TimePoint Now);
   void doubtPresent(TimePoint Now);
   void updateProvenService(TimePoint Now);
