Agent: an answer on a flow of before shows that the upstream is older

Cause: what the upstream itself says was not used. An agent that had taken its upstream for younger kept to that while the upstream answered on flows which the agent had not opened. Few calls and a new warm-up leave a gap: an evacuation or a shorter warm-up within two calls of the start.

Change: until the start is proven, a packet of the upstream, other than SYN-ACK and RST, on a flow that was not opened through this run of the agent refutes that the start is younger: its table is incomplete, logged as "upstream-older".

--- a/src/node/agent.cpp
+++ b/src/node/agent.cpp
@@ -197,6 +197,10 @@
     BalancerSocket_->send(Action.Balancer, Bytes);
   if (Action.ResponseTime)
     ResponseTimes_.record(*Action.ResponseTime);
+  if (Action.ShowsOlderStart)
+    Services_.log(LogClass::State, "upstream-older")
+        .text("upstream", Upstream_.id())
+        .text("flow", toString(Head->toCaller()));
   if (Gate_.hasReleased())
     sendReleased();
   if (Action.AnnounceHolder)
--- a/src/opaque/gate.cpp
+++ b/src/opaque/gate.cpp
@@ -348,13 +348,26 @@
     Returned_.insert(Hash);
 }
 
+bool Gate::showsOlderStart(const PacketHead &Head, const Flow *Entry) {
+  const bool IsOpenedHere = Entry && Entry->OpenedAt != TimePoint{};
+  // An upstream that has just started may reset flows that it does not hold.
+  if (IsOpenedHere || Head.Syn || Head.Reset)
+    return false;
+  return Upstream_.onAnswerOnOlderFlow();
+}
+
 GateAction Gate::fromUpstream(const PacketHead &Head, TimePoint Now) {
   if (Head.Bounced)
     return returnBounced(Head, Now);
   GateAction Action = {
       GateAction::Kind::ToCaller, GateReason::Answered, {}, {}, false};
   const auto It = Flows_.find(hashOf(Head.toCaller()));
-  if (It == Flows_.end())
+  const bool IsKnown = It != Flows_.end();
+  Action.ShowsOlderStart =
+      showsOlderStart(Head, IsKnown ? &It->second : nullptr);
+  if (Action.ShowsOlderStart)
+    onUnseenStart(Now);
+  if (!IsKnown)
     return Action;
   Upstream_.onAnswer(Now);
   Flow &Entry = It->second;
--- a/src/opaque/gate.h
+++ b/src/opaque/gate.h
@@ -60,6 +60,9 @@
   bool AnnounceHolder = false;
   /// ToCaller, first packet of an answer: the time since the request.
   std::optional<Duration> ResponseTime = {};
+  /// ToCaller: the upstream had seemed younger than this agent, and the flow
+  /// shows that it is older.
+  bool ShowsOlderStart = false;
 };
 
 class Gate {
@@ -150,6 +153,9 @@
   GateAction returnBounced(const PacketHead &Head, TimePoint Now);
   /// Records that the upstream does not hold a flow.
   void markReturned(uint64_t Hash, TimePoint Now);
+  /// Whether a packet of the upstream shows that it is older than this agent,
+  /// though it had seemed younger. Entry is nullptr if the flow is not known.
+  bool showsOlderStart(const PacketHead &Head, const Flow *Entry);
   /// Returns whether the packet carries data beyond NextSequence, which then
   /// includes it.
   static bool recordNewData(Flow &Entry, const PacketHead &Head);
--- a/src/opaque/startage.cpp
+++ b/src/opaque/startage.cpp
@@ -30,7 +30,7 @@
 bool StartAge::onWarmUpKnown(Duration WarmUp) {
   if (!Uncompared_)
     return false;
-  SeemsYounger_ = isYounger(*Uncompared_, WarmUp);
+  SeemsYounger_ = !IsRefuted_ && isYounger(*Uncompared_, WarmUp);
   Uncompared_.reset();
   return SeemsYounger_;
 }
@@ -41,6 +41,7 @@
 }
 
 void StartAge::refute() {
+  IsRefuted_ = true;
   Uncompared_.reset();
   SeemsYounger_ = false;
 }
--- a/src/opaque/startage.h
+++ b/src/opaque/startage.h
@@ -35,8 +35,9 @@
   /// Whether the heartbeat that proves that the start runs shows that the first
   /// one was not late: the end of the warm-up has not moved.
   bool isConfirmedBy(const Heartbeat &Beat, TimePoint Now) const;
-  /// Call when the first heartbeat was late, or another start has replaced the
-  /// first one.
+  /// Call when the first heartbeat was late, another start has replaced the
+  /// first one, or the upstream has answered on a flow that is older than the
+  /// agent, as it may before the first heartbeat.
   void refute();
 
   /// Whether the start seems to have met no earlier run of the agent, by its
@@ -44,6 +45,7 @@
   bool seemsYounger() const { return SeemsYounger_; }
   /// Whether any upstream that runs has certainly started after the agent.
   bool isCertain() const { return IsCertain_; }
+  TimePoint agentStarted() const { return AgentStarted_; }
 
 private:
   /// What the first heartbeat has shown.
@@ -57,6 +59,7 @@
 
   TimePoint AgentStarted_;
   bool IsCertain_ = false;
+  bool IsRefuted_ = false;
   bool SeemsYounger_ = false;
   /// The first heartbeat, while no length of the warm-up is known.
   std::optional<FirstCall> Uncompared_;
--- a/src/opaque/startage_test.cpp
+++ b/src/opaque/startage_test.cpp
@@ -1,4 +1,5 @@
 // What shows that an upstream has started after its agent, and what does not.
+#include "opaque/opaquefixture_test.h"
 #include "opaque/upstreamfixture_test.h"
 
 namespace dragonflystall::opaque::test {
@@ -158,5 +159,46 @@
   EXPECT_EQ(admitted(), 0u);
 }
 
+// Guards against a restarted agent that takes an upstream for younger although
+// it answers on flows of before: few calls and a warm-up that has just begun
+// don't exclude that its zone was out for a moment.
+TEST_F(Opaque, AnAnswerOnAFlowOfBeforeShowsAnOlderStart) {
+  Sim.SharedManifest.Services["desk"] = {0, WarmUpLength};
+  Sim.publish();
+  const FlowId Used = Sim.open(*First, DeskRoute);
+  FakeHost &Host = holderOf(Used);
+  FlowId Idle = Used;
+  while (Idle == Used || &holderOf(Idle) != &Host)
+    Idle = Sim.open(*First, DeskRoute);
+  Host.LocalUpstream.Beats = 0;
+  Host.LocalUpstream.ColdUntil = Sim.Now + WarmUpLength;
+  Sim.startAgent(Host);
+  ASSERT_TRUE(Host.UpstreamState->awaitsProof());
+  Sim.sendData(*First, Used, 100);
+  Sim.run(WarmUpLength);
+  EXPECT_TRUE(Sim.Callers[Used].Answered);
+  EXPECT_NE(Host.PacketGate->holding(Idle, Sim.Now), Holding::Denies);
+}
+
+// The same where the answer comes before the first call.
+TEST_F(StartAges, AnAnswerOnAnOlderFlowCountsBeforeTheFirstCall) {
+  EXPECT_FALSE(Local->onAnswerOnOlderFlow());
+  run(300ms);
+  EXPECT_EQ(hear(cold(1, WarmUpLength - 50ms)), HeartbeatVerdict::TakenRunning);
+  EXPECT_EQ(admitted(), 0u);
+}
+
+// Guards against a cold budget that stays free though the first call turned out
+// to be a late one.
+TEST_F(StartAges, TheBudgetIsBlockedAgainAfterALateCall) {
+  constexpr Duration Late = 300ms;
+  run(200ms);
+  Heartbeat Beat = cold(1, WarmUpLength - 50ms);
+  EXPECT_EQ(hear(Beat), HeartbeatVerdict::TakenNewStart);
+  Beat.ColdFor -= Late;
+  EXPECT_EQ(hearNext(Beat, Interval / 2), HeartbeatVerdict::TakenRunning);
+  EXPECT_EQ(admitted(), 0u);
+}
+
 } // namespace
 } // namespace dragonflystall::opaque::test
--- a/src/opaque/upstream.cpp
+++ b/src/opaque/upstream.cpp
@@ -60,7 +60,7 @@
   if (WasUnknown)
     Age_.onFirstHeard(Beat, warmUp(), Now);
   else
-    Age_.refute();
+    refuteAge();
   if (Age_.seemsYounger())
     ColdBudget_.cancelSpendAll();
   return Found == Finding::Observed || Age_.isCertain() || Age_.seemsYounger()
@@ -87,10 +87,21 @@
 HeartbeatVerdict Upstream::confirmAge(const Heartbeat &Beat, TimePoint Now) {
   if (!Starts_.isProven() || Age_.isConfirmedBy(Beat, Now))
     return HeartbeatVerdict::Taken;
+  return refuteAge() ? HeartbeatVerdict::TakenRunning : HeartbeatVerdict::Taken;
+}
+
+bool Upstream::refuteAge() {
   const bool SeemedYounger = Age_.seemsYounger();
   Age_.refute();
-  return SeemedYounger ? HeartbeatVerdict::TakenRunning
-                       : HeartbeatVerdict::Taken;
+  // A former run of this agent may have admitted flows until it ended.
+  if (SeemedYounger)
+    ColdBudget_.spendAll(Age_.agentStarted());
+  return SeemedYounger;
+}
+
+bool Upstream::onAnswerOnOlderFlow() {
+  // Later, flows that were opened here may have been idle and forgotten.
+  return !Starts_.isProven() && refuteAge();
 }
 
 void Upstream::accept(const Heartbeat &Beat, TimePoint Now) {
--- a/src/opaque/upstream.h
+++ b/src/opaque/upstream.h
@@ -65,6 +65,10 @@
   LeaveVerdict onLeave(const Incarnation &Start);
   /// Call when the upstream has sent a packet of one of its flows.
   void onAnswer(TimePoint Now);
+  /// Call when the upstream has answered on a flow that this agent has not
+  /// opened: it is older than the agent, unless the flow was forgotten. Returns
+  /// whether it had seemed younger.
+  bool onAnswerOnOlderFlow();
   /// Call when the upstream has returned a packet: it is responsive, but may
   /// have restarted.
   void onBounce() { UnansweredSyns_ = 0; }
@@ -155,6 +159,8 @@
   /// Once the present start is proven, its heartbeats are not late any more:
   /// they show whether the first one was.
   HeartbeatVerdict confirmAge(const Heartbeat &Beat, TimePoint Now);
+  /// Returns whether the present start had seemed younger than this agent.
+  bool refuteAge();
   void doubtPresent(TimePoint Now);
   void updateProvenService(TimePoint Now);
 
