Soak: zones return with cold upstreams while an agent and a balancer restart

Upstreams became cold by starts only; its manifests did not say how long a warm-up takes, so that no age was ever computed; and callers used each flow every 0.6 s, so that a restarted agent had learned all flows again before a balancer asked.

Change: 1.2 s before an evacuation ends the zone's upstreams become cold and keep their flows; one of its agents has been killed and has started again 100 ms before, and a balancer restarts 0.8 s after the zone's return. The manifests have a warm-up. One of eight long flows pauses for up to 4 s.

No functional change.

--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -18,6 +18,10 @@
 constexpr Duration FirstResendInterval = 200ms;
 constexpr Duration MaxResendInterval = 1600ms;
 constexpr Duration MaxPause = 600ms;
+/// One of this number of long flows is used seldom: between two of its requests
+/// a restarted agent may hear its upstream's first two heartbeats.
+constexpr uint16_t SeldomOneOf = 8;
+constexpr Duration SeldomPause = 4s;
 /// A reset that was not sent by the upstream is accepted in an established flow
 /// only if its sequence differs from the expected one by at most this number of
 /// bytes.
@@ -96,7 +100,10 @@
   if (Client.SurgeClass)
     return std::max(Now, Client.Begun + 750ms +
                              std::chrono::milliseconds(Shared_.Rng() % 500));
-  return Now + MaxPause * static_cast<int>(Shared_.Rng() % 100) / 100;
+  const bool IsSeldom = Classes[Client.Class].RequestsPerFlow > 1 &&
+                        Client.Flow.Caller.Port % SeldomOneOf == 0;
+  return Now + (IsSeldom ? SeldomPause : MaxPause) *
+                   static_cast<int>(Shared_.Rng() % 100) / 100;
 }
 
 BalancerTarget &Callers::balancerFor(const Caller &Client) {
--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -29,6 +29,13 @@
 constexpr Duration FirstDrop = 1s;
 constexpr Duration BalancerRestarts = 7s;
 constexpr Duration BalancerDowntime = 300ms;
+/// Upstreams "may have become cold shortly before" their zone returns.
+constexpr Duration ColdBeforeReturn = 1200ms;
+/// The restarted agent's first heartbeat mostly comes after this.
+constexpr Duration AgentStartBeforeCold = 100ms;
+constexpr Duration AgentDowntime = 300ms;
+/// By then the agent has heard two heartbeats.
+constexpr Duration LookupAfterReturn = 800ms;
 /// Draws of agents that restart with the balancers, so that no process knows
 /// the flows of their upstreams. Among the random faults this shows little:
 /// balancers reset no flow for 5 s after each restore of the store.
@@ -251,7 +258,9 @@
   IsEvacuated_ = true;
   Fleet_.Store->put(ObjectKind::Evacuation, EvacuatedZone, "{}");
   Fleet_.Checker.onEvacuation(EvacuatedZone, Shared_.now());
-  schedule(randomDuration(6s, 10s), [this] {
+  const Duration Length = randomDuration(6s, 10s);
+  returnCold(Shared_.now() + Length);
+  schedule(Length, [this] {
     // The checker is notified first: flows may open in the zone from now on.
     Fleet_.Checker.onEvacuationEnd(EvacuatedZone);
     IsEvacuated_ = false;
@@ -259,6 +268,28 @@
   });
 }
 
+void Faults::returnCold(TimePoint EvacuationEnd) {
+  const TimePoint ColdAt = EvacuationEnd - ColdBeforeReturn;
+  Events_.emplace(ColdAt, [this] {
+    for (Host &Target : Fleet_.Hosts)
+      if (Target.Checked.Zone == EvacuatedZone && Target.Upstream->alive())
+        Target.Upstream->becomeCold(Upstream::ColdLength);
+  });
+  Events_.emplace(ColdAt - AgentStartBeforeCold - AgentDowntime, [this] {
+    std::vector<Host *> OfZone;
+    for (Host &Target : Fleet_.Hosts)
+      if (Target.Checked.Zone == EvacuatedZone)
+        OfZone.push_back(&Target);
+    Host &Target = *OfZone[LoadRng_() % OfZone.size()];
+    record(Fault::ReturnCold, Target.Checked.Name);
+    restart(Target.Agent, SIGKILL, AgentDowntime);
+  });
+  Events_.emplace(EvacuationEnd + LookupAfterReturn, [this] {
+    Node &Instance = Fleet_.Balancers[LoadRng_() % Fleet_.Balancers.size()];
+    restart(Instance, SIGTERM, BalancerDowntime);
+  });
+}
+
 void Faults::dropRoute(Duration Length) {
   const auto Node = Fleet_.Manifest.Routes.extract(PrintRoute);
   if (Node.empty())
--- a/soak/faults.h
+++ b/soak/faults.h
@@ -39,8 +39,9 @@
   Shortage,
   SlowUpstream,
   PowerLoss,
+  ReturnCold,
 };
-constexpr std::array<std::string_view, 28> FaultNames = {"kill-balancer",
+constexpr std::array<std::string_view, 29> FaultNames = {"kill-balancer",
                                                          "stop-balancer",
                                                          "pause-balancer",
                                                          "kill-agent",
@@ -67,7 +68,8 @@
                                                          "odd-entry",
                                                          "shortage",
                                                          "slow-upstream",
-                                                         "power-loss"};
+                                                         "power-loss",
+                                                         "return-cold"};
 constexpr std::string_view name(Fault Kind) {
   return FaultNames[static_cast<size_t>(Kind)];
 }
@@ -125,6 +127,10 @@
   void reuse(Host &Target);
   void leaveWhenDrained(Host &Target, Action OnLeft);
   void evacuate();
+  /// The upstreams of a zone become cold just before its evacuation ends. One
+  /// of its agents has been killed and just started again; afterwards a
+  /// balancer is restarted, so that others look up its flows.
+  void returnCold(TimePoint EvacuationEnd);
   /// Drops a route, and adds it again after the time.
   void dropRoute(Duration Length);
   /// Changes the services of the desk's routes and their weights.
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -54,8 +54,8 @@
   Manifest.Routes = {{DeskRoute, {{{"desk", 1}}, DeskTimeout, 2}},
                      {UrgentRoute, {{{"desk", 1}}, DeskTimeout, 1}},
                      {PrintRoute, {{{"print", 1}}, PrintTimeout, 2}}};
-  Manifest.Services = {{"desk", {ColdFlowsPerSecond}},
-                       {"print", {ColdFlowsPerSecond}}};
+  const opaque::WarmUp WarmUp = {ColdFlowsPerSecond, Upstream::ColdLength};
+  Manifest.Services = {{"desk", WarmUp}, {"print", WarmUp}};
   publish();
   for (size_t I = 0; I < Options.Balancers; ++I)
     addBalancer(I);
--- a/soak/upstream.cpp
+++ b/soak/upstream.cpp
@@ -43,8 +43,7 @@
   Heartbeat_.Started = std::max<int64_t>(
       Started + 1,
       std::chrono::duration_cast<std::chrono::milliseconds>(WallTime).count());
-  ColdUntil_ = Now + ColdFor;
-  Host_.ColdUntil = ColdUntil_;
+  becomeCold(ColdFor);
   Host_.DrainAcknowledged = {};
   Host_.RecentSyns.clear();
   Alive_ = true;
@@ -52,6 +51,11 @@
   listenForHealthChecks();
 }
 
+void Upstream::becomeCold(Duration Length) {
+  ColdUntil_ = Shared_.now() + Length;
+  Host_.ColdUntil = ColdUntil_;
+}
+
 void Upstream::listenForHealthChecks() {
   HealthServer_ =
       std::make_unique<HttpServer>(Shared_.Base.get(), [](const HttpRequest &) {
--- a/soak/upstream.h
+++ b/soak/upstream.h
@@ -35,6 +35,8 @@
 
   /// Starts without any flows, with a cold start of the given length.
   void start(const std::string &Id, Duration ColdFor);
+  /// Becomes cold without a start, and keeps its flows.
+  void becomeCold(Duration Length);
   /// Stops at once and loses all flows.
   void crash();
   /// Announces a drain in the heartbeats; see drained().
