Agent: until the evacuations are known, the zone may be out

It took new flows as soon as it had a manifest and a heartbeat. If the evacuations came later, it admitted flows in a zone that is out; and if the zone had returned meanwhile, a heartbeat of before, by which the upstream was warm, let more new flows pass than a cold upstream bears until the next one (FAILBACK counts machines that are not in touch, too).

Cause: no knowledge of evacuations was treated as knowledge of none.

Change: the intake is `unready` until manifest and evacuations are known. The moment when they become known counts as a return of the zone: the upstream counts as cold until its next heartbeat.

Fixtures of tests with an agent now say that there are none.

--- a/bench/opaquebench.cpp
+++ b/bench/opaquebench.cpp
@@ -149,6 +149,7 @@
 Outcome admitOpaque() {
   Configuration Config;
   Config.offer(manifest(), Continuity::Gap, Now);
+  Config.evacuations().offer({{1, 1}, {}}, Now);
   Upstream Beside({UpstreamAddress, "zone-0", 2s, 1s, 1.5, 5}, Config, Now);
   const AgentId Self = agentId("agent");
   Gate Entrance(Config, Beside, Self, "service", FewFlows, Now);
--- a/src/node/configsource.cpp
+++ b/src/node/configsource.cpp
@@ -166,8 +166,8 @@
 
 void ConfigSource::offerEvacuations(const opaque::Evacuations &Newer,
                                     std::string_view From) {
-  EvacuationsKnown_ = true;
-  if (Config_.evacuations().offer(Newer, Services_.now()))
+  const bool WereKnown = Config_.knowsEvacuations();
+  if (Config_.evacuations().offer(Newer, Services_.now()) || !WereKnown)
     onEvacuationsChanged(From);
 }
 
--- a/src/node/configsource.h
+++ b/src/node/configsource.h
@@ -29,6 +29,8 @@
 public:
   struct Callbacks {
     std::function<void()> OnManifest;
+    /// Called when the evacuated zones are known for the first time, even if
+    /// there are none, and when they have changed.
     std::function<void()> OnEvacuations;
     /// Called with the agents that a peer knows.
     std::function<void(const opaque::AgentList &)> OnAgents;
@@ -39,7 +41,9 @@
 
   const opaque::Configuration &config() const { return Config_; }
   /// Whether manifest and evacuations are known, from the store or a peer.
-  bool complete() const { return Config_.hasManifest() && EvacuationsKnown_; }
+  bool complete() const {
+    return Config_.hasManifest() && Config_.knowsEvacuations();
+  }
   /// The manifest as JSON text, for PeerState; empty when not known.
   const std::string &manifestContent() const { return ManifestContent_; }
 
@@ -107,7 +111,6 @@
   Callbacks Callbacks_;
   opaque::Configuration Config_;
   std::string ManifestContent_;
-  bool EvacuationsKnown_ = false;
   /// The evacuated zones according to the list and the watch.
   std::set<std::string> ListedZones_;
   ObjectWatcher Manifests_;
--- a/src/opaque/control.h
+++ b/src/opaque/control.h
@@ -85,7 +85,7 @@
   Draining,  ///< The upstream is draining.
   Evacuated, ///< The availability zone is evacuated.
   Silent,    ///< The upstream has sent nothing recently, or ever.
-  Unready,   ///< The agent has no manifest yet.
+  Unready,   ///< The agent does not know manifest and evacuations yet.
   Stopping,  ///< The agent itself is stopping.
   Ended,     ///< The upstream and its flows no longer exist.
   Unlisted,  ///< The agent does not know that the store has its entry.
--- a/src/opaque/incarnationrandom_test.cpp
+++ b/src/opaque/incarnationrandom_test.cpp
@@ -26,6 +26,7 @@
     Manifest M;
     M.Version = 1;
     Config_.offer(M, Continuity::Unbroken, Now_);
+    Config_.evacuations().offer({{1, 1}, {}}, Now_);
     Present_.Service = "desk";
     startAgent();
   }
--- a/src/opaque/manifest.h
+++ b/src/opaque/manifest.h
@@ -48,6 +48,7 @@
 
   const Manifest &manifest() const { return Manifest_; }
   bool hasManifest() const { return Manifest_.Version > 0; }
+  bool knowsEvacuations() const { return Evacuations_.revision().isSet(); }
   const EvacuatedZones &evacuations() const { return Evacuations_; }
   EvacuatedZones &evacuations() { return Evacuations_; }
   bool isEvacuated(const std::string &Zone) const {
--- a/src/opaque/opaquesimulation_test.h
+++ b/src/opaque/opaquesimulation_test.h
@@ -52,8 +52,8 @@
   std::function<void(FakeBalancer &)> ReadAgents;
   /// What processes that start read from the store, if not SharedManifest.
   std::optional<Manifest> StoredManifest;
-  /// The evacuations that agents that start read from the store.
-  std::optional<Evacuations> StoredEvacuations;
+  /// The evacuations that processes that start read from the store.
+  Evacuations StoredEvacuations = {{1, 1}, {}};
 
   FakeHost &addHost(const std::string &Service) {
     FakeHost &Host = Hosts.emplace_back();
@@ -83,10 +83,6 @@
         UpstreamSettings{address(Host), Host.Entry.Zone, 2s, 800ms, 1.5, 5,
                          Host.Entry.Service},
         Host.Config, Now);
-    if (StoredEvacuations) {
-      Host.Config.evacuations().offer(*StoredEvacuations, Now);
-      Host.UpstreamState->onEvacuationsChanged();
-    }
     makeGate(Host);
   }
   void makeGate(FakeHost &Host) {
@@ -150,6 +146,7 @@
       Config.history().onFirstStart(Now);
     Config.offer(StoredManifest ? *StoredManifest : SharedManifest,
                  Continuity::Gap, Now);
+    Config.evacuations().offer(StoredEvacuations, Now);
   }
 
   static Endpoint address(const FakeHost &Host) {
--- a/src/opaque/openingsworld_test.h
+++ b/src/opaque/openingsworld_test.h
@@ -229,6 +229,7 @@
                   {0x0a010000 + Index, 7001}};
     Host.Config.history().onFirstStart(Now);
     Host.Config.offer(SharedManifest, Continuity::Gap, Now);
+    Host.Config.evacuations().offer({{1, 1}, {}}, Now);
     Host.UpstreamState = std::make_unique<Upstream>(
         UpstreamSettings{{Host.Entry.Packets.Ip, 8000},
                          Host.Entry.Zone,
--- a/src/opaque/upstream.cpp
+++ b/src/opaque/upstream.cpp
@@ -203,7 +203,7 @@
 
 void Upstream::onEvacuationsChanged() {
   const bool Evacuated = Config_.isEvacuated(Settings_.Zone);
-  if (WasEvacuated_ && !Evacuated)
+  if (WasEvacuated_.value_or(true) && !Evacuated)
     ColdUnknown_ = true;
   WasEvacuated_ = Evacuated;
 }
@@ -239,7 +239,7 @@
     return Intake::Ended;
   if (IsStopping_)
     return Intake::Stopping;
-  if (!Config_.hasManifest())
+  if (!Config_.hasManifest() || !Config_.knowsEvacuations())
     return Intake::Unready;
   if (Config_.isEvacuated(Settings_.Zone))
     return Intake::Evacuated;
--- a/src/opaque/upstream.h
+++ b/src/opaque/upstream.h
@@ -54,6 +54,8 @@
         Starts_(Settings_.HeartbeatInterval), Age_(Started),
         LastTick_(Started) {
     ColdBudget_.spendAll(Started);
+    if (Config.knowsEvacuations())
+      WasEvacuated_ = Config.isEvacuated(Settings_.Zone);
   }
 
   HeartbeatVerdict onHeartbeat(const Heartbeat &Beat, TimePoint Now);
@@ -84,7 +86,7 @@
   /// not listed takes no new flows, since a balancer that does not know the
   /// agent would reset them.
   void setListed(bool IsListed) { IsListed_ = IsListed; }
-  /// Call when the set of evacuated zones has changed.
+  /// Call when the set of evacuated zones has changed or is known at last.
   void onEvacuationsChanged();
 
   /// Whether the upstream takes new flows now, and if not, why.
@@ -192,7 +194,9 @@
   /// The zone's evacuation has ended and no heartbeat since then has reported
   /// whether the upstream is cold.
   bool ColdUnknown_ = false;
-  bool WasEvacuated_ = false;
+  /// Unset while the evacuations are not known: the zone may have returned just
+  /// before.
+  std::optional<bool> WasEvacuated_;
   uint32_t UnansweredSyns_ = 0;
   TimePoint FirstUnanswered_{};
   TimePoint LastSyn_{};
--- a/src/opaque/upstreamfixture_test.h
+++ b/src/opaque/upstreamfixture_test.h
@@ -24,6 +24,7 @@
     M.Version = 1;
     M.Services["desk"] = {0};
     Config.offer(M, Continuity::Unbroken, Now);
+    Config.evacuations().offer({{1, 1}, {}}, Now);
     startAgent();
   }
   void setWarmUp(Duration Length) {
--- a/src/scheduling/gatefixture_test.h
+++ b/src/scheduling/gatefixture_test.h
@@ -52,6 +52,7 @@
   void publish() {
     ++Rules.Version;
     Config.offer(Rules, Continuity::Unbroken, Now);
+    Config.evacuations().offer({{1, 1}, {}}, Now);
   }
   Heartbeat beat() {
     Heartbeat Beat;
