Agent: an upstream that has been silent is not compared with its agent again

Seen: by reading. When an upstream was silent for the reuse time, as in a cut of its heartbeats, the next call but one proves it anew; it is warm by then, and an age that had been confirmed long before was refuted. The agent called its table incomplete, so that dead flows got no reset for the idle time of flows.

Cause: the confirmation was not kept; it was worked out at each proof.

Change: StartAge keeps that the first call was confirmed. From then on neither a later call nor an answer on a flow that has been forgotten here changes it.

Test: StartAges.ASilenceDoesNotMakeAStartOlder; without the change its verdict (taken-running) and, asked first, its answer on an older flow fail.

--- a/src/opaque/startage.cpp
+++ b/src/opaque/startage.cpp
@@ -35,9 +35,11 @@
   return SeemsYounger_;
 }
 
-bool StartAge::isConfirmedBy(const Heartbeat &Beat, TimePoint Now) const {
-  return Beat.ColdFor > Duration::zero() &&
-         Now + Beat.ColdFor + RestartTime >= ColdEnd_;
+bool StartAge::confirm(const Heartbeat &Beat, TimePoint Now) {
+  if (Beat.ColdFor > Duration::zero() &&
+      Now + Beat.ColdFor + RestartTime >= ColdEnd_)
+    IsConfirmed_ = true;
+  return IsConfirmed_;
 }
 
 void StartAge::refute() {
--- a/src/opaque/startage.h
+++ b/src/opaque/startage.h
@@ -32,9 +32,10 @@
   /// heartbeat: later ones say nothing of a start before them. Returns whether
   /// the start now seems younger than the agent.
   bool onWarmUpKnown(Duration WarmUp);
-  /// Whether the heartbeat that proves that the start runs shows that the first
-  /// one was not late: the end of the warm-up has not moved.
-  bool isConfirmedBy(const Heartbeat &Beat, TimePoint Now) const;
+  /// Call at the heartbeat that proves that the start runs. Returns whether it
+  /// shows that the first one was not late: the end of the warm-up has not
+  /// moved. Once that is shown, always returns true.
+  bool confirm(const Heartbeat &Beat, TimePoint Now);
   /// Call when the first heartbeat was late, another start has replaced the
   /// first one, or the upstream has answered on a flow that is older than the
   /// agent, as it may before the first heartbeat.
@@ -43,6 +44,7 @@
   /// Whether the start seems to have met no earlier run of the agent, by its
   /// first heartbeat, which may have been late.
   bool seemsYounger() const { return SeemsYounger_; }
+  bool isConfirmed() const { return IsConfirmed_; }
   /// Whether any upstream that runs has certainly started after the agent.
   bool isCertain() const { return IsCertain_; }
   TimePoint agentStarted() const { return AgentStarted_; }
@@ -59,6 +61,7 @@
 
   TimePoint AgentStarted_;
   bool IsCertain_ = false;
+  bool IsConfirmed_ = false;
   bool IsRefuted_ = false;
   bool SeemsYounger_ = false;
   /// The first heartbeat, while no length of the warm-up is known.
--- a/src/opaque/startage_test.cpp
+++ b/src/opaque/startage_test.cpp
@@ -114,6 +114,20 @@
   EXPECT_FALSE(Local->awaitsProof());
 }
 
+// Guards against dead flows that get no reset, since an upstream that was
+// silent for a while is compared again when it is warm.
+TEST_F(StartAges, ASilenceDoesNotMakeAStartOlder) {
+  run(100ms);
+  Heartbeat Beat = cold(1, WarmUpLength - 50ms);
+  EXPECT_EQ(hear(Beat), HeartbeatVerdict::TakenNewStart);
+  EXPECT_EQ(hearNext(Beat), HeartbeatVerdict::Taken);
+  EXPECT_EQ(hearNext(Beat, 3s), HeartbeatVerdict::Taken);
+  EXPECT_EQ(hearNext(Beat), HeartbeatVerdict::Taken);
+  EXPECT_TRUE(Local->hasSeenStart());
+  EXPECT_EQ(hearNext(Beat, 3s), HeartbeatVerdict::Taken);
+  EXPECT_FALSE(Local->onAnswerOnOlderFlow()) << "it may have been forgotten";
+}
+
 // Guards against dead flows that get no reset, since the length of the warm-up
 // was changed between the first two calls of a start.
 TEST_F(StartAges, AStartIsSeenThoughTheWarmUpChanges) {
--- a/src/opaque/upstream.cpp
+++ b/src/opaque/upstream.cpp
@@ -85,7 +85,7 @@
 }
 
 HeartbeatVerdict Upstream::confirmAge(const Heartbeat &Beat, TimePoint Now) {
-  if (!Starts_.isProven() || Age_.isConfirmedBy(Beat, Now))
+  if (!Starts_.isProven() || Age_.confirm(Beat, Now))
     return HeartbeatVerdict::Taken;
   return refuteAge() ? HeartbeatVerdict::TakenRunning : HeartbeatVerdict::Taken;
 }
@@ -101,7 +101,7 @@
 
 bool Upstream::onAnswerOnOlderFlow() {
   // Later, flows that were opened here may have been idle and forgotten.
-  return !Starts_.isProven() && refuteAge();
+  return !Age_.isConfirmed() && refuteAge();
 }
 
 void Upstream::accept(const Heartbeat &Beat, TimePoint Now) {
