Agent: an upstream that started after the port probe stays younger

The budget was blocked for up to 1.1 s and the table incomplete.

Change: a refused port goes before what refutes the warm-up. The soak's cold returns allow a fleet without an agent in the zone.

Test, seen to fail before: StartAges.WhatStartedAfterTheProbeStaysYounger.

--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -280,6 +280,8 @@
     for (Host &Target : Fleet_.Hosts)
       if (Target.Checked.Zone == EvacuatedZone)
         OfZone.push_back(&Target);
+    if (OfZone.empty())
+      return;
     Host &Target = *OfZone[LoadRng_() % OfZone.size()];
     record(Fault::ReturnCold, Target.Checked.Name);
     restart(Target.Agent, SIGKILL, AgentDowntime);
--- a/src/opaque/startage_test.cpp
+++ b/src/opaque/startage_test.cpp
@@ -202,6 +202,16 @@
   EXPECT_EQ(admitted(), 0u);
 }
 
+// A packet of a former start may have waited in the agent's socket.
+TEST_F(StartAges, WhatStartedAfterTheProbeStaysYounger) {
+  Local->onPortClosed();
+  run(300ms);
+  EXPECT_EQ(hear(cold(1, WarmUpLength - 50ms)),
+            HeartbeatVerdict::TakenNewStart);
+  EXPECT_FALSE(Local->onAnswerOnOlderFlow());
+  EXPECT_EQ(admitted(), Local->coldLimit());
+}
+
 // Guards against a cold budget that stays free though the first call turned out
 // to be a late one.
 TEST_F(StartAges, TheBudgetIsBlockedAgainAfterALateCall) {
--- a/src/opaque/upstream.cpp
+++ b/src/opaque/upstream.cpp
@@ -91,7 +91,7 @@
 }
 
 bool Upstream::refuteAge() {
-  const bool SeemedYounger = Age_.seemsYounger();
+  const bool SeemedYounger = Age_.seemsYounger() && !Age_.isCertain();
   Age_.refute();
   // A former run of this agent may have admitted flows until it ended.
   if (SeemedYounger)
--- a/src/opaque/upstream.h
+++ b/src/opaque/upstream.h
@@ -161,7 +161,8 @@
   /// Once the present start is proven, its heartbeats are not late any more:
   /// they show whether the first one was.
   HeartbeatVerdict confirmAge(const Heartbeat &Beat, TimePoint Now);
-  /// Returns whether the present start had seemed younger than this agent.
+  /// Returns whether the present start had seemed younger than this agent. One
+  /// that is certainly younger stays so.
   bool refuteAge();
   void doubtPresent(TimePoint Now);
   void updateProvenService(TimePoint Now);
