--- a/src/opaque/heartbeat.h
+++ b/src/opaque/heartbeat.h
@@ -30,7 +30,9 @@
 /// How a heartbeat was handled.
 enum class HeartbeatVerdict : uint8_t {
   Taken,
-  TakenRunning, ///< First one of a start that may have begun before this agent.
+  /// First one of a start that may have begun before this agent, or one that
+  /// shows this of a start that had seemed younger.
+  TakenRunning,
   TakenNewStart, ///< First one of a start that has begun since.
   Late,          ///< Ignored: a newer one was received before.
   OldStart,      ///< Ignored: another start is the present one.
