--- a/src/node/configfixture_test.h
+++ b/src/node/configfixture_test.h
@@ -33,6 +33,7 @@
   soak::Store Store{Shared, StoreAddress};
   StoreHealth Health{Shared};
   std::unique_ptr<ConfigSource> Source;
+  int EvacuationReports = 0; ///< Calls of Callbacks::OnEvacuations.
 
   void SetUp() override {
     std::signal(SIGPIPE, SIG_IGN);
@@ -40,7 +41,7 @@
         Shared, Health,
         ConfigSources{{StoreAddress, 20s, platform::Consistency::Serializable},
                       {}},
-        ConfigSource::Callbacks{[] {}, [] {}, {}});
+        ConfigSource::Callbacks{[] {}, [this] { ++EvacuationReports; }, {}});
   }
   const opaque::Configuration &config() const { return Source->config(); }
   void put(int64_t Version) {
