Settings: the limit on a body is named as in no other interface

ServiceSettings::MaxBodyBytes was spelled like a field that only platform/ may know. The key of the product's settings, max_body_bytes, stays.

No functional change.

--- a/include/dragonflystall/settings.h
+++ b/include/dragonflystall/settings.h
@@ -25,8 +25,8 @@
   Duration FlowIdleTimeout = 60min;
   uint32_t RetryPercent = 10; ///< Retries at other agents per 100 requests.
   uint32_t HedgePercent = 0;  ///< Hedges per 100 requests; 0: off.
-  uint64_t MaxBodyBytes = 2 << 20;
-  std::vector<std::string> Drained; ///< Names of the agents to drain.
+  uint64_t MaxMessageBytes = 2 << 20; ///< Body of a request or answer.
+  std::vector<std::string> Drained;   ///< Names of the agents to drain.
   friend bool operator==(const ServiceSettings &,
                          const ServiceSettings &) = default;
 };
--- a/src/requests/blockwise.cpp
+++ b/src/requests/blockwise.cpp
@@ -38,7 +38,7 @@
     }
   }
   const UploadStep Step =
-      PendingUploads.add(Key, Part, Service.MaxBodyBytes, Now);
+      PendingUploads.add(Key, Part, Service.MaxMessageBytes, Now);
   if (Step == UploadStep::More) {
     // No verdict, since the request may still run.
     Message Next;
--- a/src/requests/blockwise_test.cpp
+++ b/src/requests/blockwise_test.cpp
@@ -71,7 +71,7 @@
   auto Settings = std::make_shared<dragonflystall::Settings>();
   ServiceSettings Service;
   Service.Id = Agent.flow().Service;
-  Service.MaxBodyBytes = BlockBytes;
+  Service.MaxMessageBytes = BlockBytes;
   Settings->Services.push_back(Service);
   AgentActions Out;
   Agent.Core.onSettings(Settings, Agent.Now, Out);
--- a/src/settings/objects.cpp
+++ b/src/settings/objects.cpp
@@ -129,13 +129,14 @@
          .Help = "Idempotent requests that are also sent to a second upstream "
                  "because the first one is slow, at most; 0: none."},
         [](ServiceSettings &S, const Json &V) { S.HedgePercent = V; }},
-    ServiceField{{.Path = "max_body_bytes",
-                  .Unit = "bytes",
-                  .Default = "2097152",
-                  .Min = 1024,
-                  .Max = 16 << 20,
-                  .Help = "The largest body of a request or an answer."},
-                 [](ServiceSettings &S, const Json &V) { S.MaxBodyBytes = V; }},
+    ServiceField{
+        {.Path = "max_body_bytes",
+         .Unit = "bytes",
+         .Default = "2097152",
+         .Min = 1024,
+         .Max = 16 << 20,
+         .Help = "The largest body of a request or an answer."},
+        [](ServiceSettings &S, const Json &V) { S.MaxMessageBytes = V; }},
     ServiceField{
         {.Path = "drained",
          .Type = KeyType::Names,
