Soak and comments: findings of a last reading

The soak's cold returns draw from a generator of their own, as the other added faults do, so that they leave the slow upstreams, shortages and losses of power of a seed as they are.

No functional change of the program.

--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -18,8 +18,8 @@
 constexpr Duration FirstResendInterval = 200ms;
 constexpr Duration MaxResendInterval = 1600ms;
 constexpr Duration MaxPause = 600ms;
-/// One of this number of long flows is used seldom: between two of its requests
-/// a restarted agent may hear its upstream's first two heartbeats.
+/// One of this number of long flows is used seldom: it may have no packet
+/// between an agent's restart and the second heartbeat that the agent hears.
 constexpr uint16_t SeldomOneOf = 8;
 constexpr Duration SeldomPause = 4s;
 /// A reset that was not sent by the upstream is accepted in an established flow
--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -29,12 +29,14 @@
 constexpr Duration FirstDrop = 1s;
 constexpr Duration BalancerRestarts = 7s;
 constexpr Duration BalancerDowntime = 300ms;
-/// Upstreams "may have become cold shortly before" their zone returns.
+/// From the moment when upstreams become cold until their zone returns.
 constexpr Duration ColdBeforeReturn = 1200ms;
-/// The restarted agent's first heartbeat mostly comes after this.
+/// Shorter than a heartbeat interval: the restarted agent mostly hears its
+/// upstream when that is cold already.
 constexpr Duration AgentStartBeforeCold = 100ms;
 constexpr Duration AgentDowntime = 300ms;
-/// By then the agent has heard two heartbeats.
+/// From the zone's return until a balancer restarts. The agent has heard two
+/// heartbeats by then.
 constexpr Duration LookupAfterReturn = 800ms;
 /// Draws of agents that restart with the balancers, so that no process knows
 /// the flows of their upstreams. Among the random faults this shows little:
@@ -282,12 +284,12 @@
         OfZone.push_back(&Target);
     if (OfZone.empty())
       return;
-    Host &Target = *OfZone[LoadRng_() % OfZone.size()];
+    Host &Target = *OfZone[ReturnRng_() % OfZone.size()];
     record(Fault::ReturnCold, Target.Checked.Name);
     restart(Target.Agent, SIGKILL, AgentDowntime);
   });
   Events_.emplace(EvacuationEnd + LookupAfterReturn, [this] {
-    Node &Instance = Fleet_.Balancers[LoadRng_() % Fleet_.Balancers.size()];
+    Node &Instance = Fleet_.Balancers[ReturnRng_() % Fleet_.Balancers.size()];
     restart(Instance, SIGTERM, BalancerDowntime);
   });
 }
--- a/soak/faults.h
+++ b/soak/faults.h
@@ -78,7 +78,8 @@
 public:
   Faults(node::Services &Shared, Fleet &Deployment, uint64_t Seed)
       : Shared_(Shared), Fleet_(Deployment), Rng_(Seed), ServiceRng_(~Seed),
-        RestoreRng_(Seed << 1), WriterRng_(~Seed << 1), LoadRng_(Seed << 2) {}
+        RestoreRng_(Seed << 1), WriterRng_(~Seed << 1), LoadRng_(Seed << 2),
+        ReturnRng_(~Seed << 2) {}
 
   /// Schedules random faults that begin between the two times, and beside them
   /// changes of a route's services, restores of the store and odd entries;
@@ -159,6 +160,7 @@
   Random RestoreRng_;              ///< For restores alone, for the same reason.
   Random WriterRng_;               ///< For odd entries alone.
   Random LoadRng_;                 ///< For the faults that change the load.
+  Random ReturnRng_;               ///< For zones that return cold alone.
   std::deque<Store::Copy> Copies_; ///< Of the last seconds, oldest first.
   bool IsEvacuated_ = false; ///< Whether operators have evacuated the zone.
   std::multimap<TimePoint, Action> Events_;
--- a/src/opaque/startage.h
+++ b/src/opaque/startage.h
@@ -28,9 +28,10 @@
   /// upstream is cold after its start; std::nullopt if no manifest says so.
   void onFirstHeard(const Heartbeat &Beat, std::optional<Duration> WarmUp,
                     TimePoint Now);
-  /// Call when a manifest says so. Only the first one is compared with the
-  /// heartbeat: later ones say nothing of a start before them. Returns whether
-  /// the start now seems younger than the agent.
+  /// Call with the length of the warm-up whenever there is a new manifest. Only
+  /// the first one that is known is compared with the first heartbeat, since
+  /// later ones say nothing of a start before them. Returns whether the start
+  /// now seems younger than the agent.
   bool onWarmUpKnown(Duration WarmUp);
   /// Call at the heartbeat that proves that the start runs. Returns whether it
   /// shows that the first one was not late: the end of the warm-up has not
@@ -44,6 +45,7 @@
   /// Whether the start seems to have met no earlier run of the agent, by its
   /// first heartbeat, which may have been late.
   bool seemsYounger() const { return SeemsYounger_; }
+  /// Whether confirm() has shown that the first heartbeat was not late.
   bool isConfirmed() const { return IsConfirmed_; }
   /// Whether any upstream that runs has certainly started after the agent.
   bool isCertain() const { return IsCertain_; }
@@ -63,7 +65,7 @@
   bool IsCertain_ = false;
   bool IsConfirmed_ = false;
   bool IsRefuted_ = false;
-  bool SeemsYounger_ = false;
+  bool SeemsYounger_ = false; ///< Implies !IsRefuted_ and no Uncompared_.
   /// The first heartbeat, while no length of the warm-up is known.
   std::optional<FirstCall> Uncompared_;
   TimePoint ColdEnd_{}; ///< By the first heartbeat.
--- a/src/opaque/zonereturn_test.cpp
+++ b/src/opaque/zonereturn_test.cpp
@@ -35,8 +35,7 @@
 
 // Guards against more new flows than a cold upstream bears: its zone was taken
 // back between the first heartbeat that the agent heard, by which it was warm,
-// and the agent's first list of evacuations. "The zone's targets may have
-// become cold shortly before."
+// and the agent's first list of evacuations.
 TEST_F(ZoneReturns, AHeartbeatBeforeTheEvacuationsAreKnownIsNoProofOfWarmth) {
   hear(beat("a", 1000, 17));
   run(100ms);
--- a/src/shell/http.cpp
+++ b/src/shell/http.cpp
@@ -24,7 +24,7 @@
 constexpr unsigned UserTimeoutMilliseconds = 2500;
 constexpr int ServerIdleSeconds = 60;
 /// Requests to these servers usually have a few hundred bytes.
-constexpr ssize_t MaxRequestBytes = 64 << 10;
+constexpr ssize_t MaxMessageBytes = 64 << 10;
 
 std::string bodyOf(evbuffer *Buffer) {
   std::string Body(evbuffer_get_length(Buffer), '\0');
@@ -256,8 +256,8 @@
   State_->Http = evhttp_new(Base);
   State_->OnRequest = std::move(OnRequest);
   evhttp_set_timeout(State_->Http, ServerIdleSeconds);
-  evhttp_set_max_body_size(State_->Http, MaxRequestBytes);
-  evhttp_set_max_headers_size(State_->Http, MaxRequestBytes);
+  evhttp_set_max_body_size(State_->Http, MaxMessageBytes);
+  evhttp_set_max_headers_size(State_->Http, MaxMessageBytes);
   evhttp_set_gencb(State_->Http, &State::onRequest, State_.get());
 }
 
